--- a/src/bin/cottonline-wirehost.rs
+++ b/src/bin/larchdale-wirehost.rs
@@ -1,11 +1,11 @@
 //! Hosts routers on the wire: one line of JSON in, one line out. It translates and decides nothing.
 #![forbid(unsafe_code)]
 
-use cottonline::interface::{
+use larchdale::interface::{
     Action, Class, Code, ColdStart, Detail, Effect, Event, Fetch, Group, Listed, Member, Note, Outcome,
     Report, Request, Role, Settings,
 };
-use cottonline::Router;
+use larchdale::Router;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::io::{BufRead, Write};
@@ -483,7 +483,7 @@
     match run() {
         Ok(()) => std::process::ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("cottonline-wirehost: {message}");
+            eprintln!("larchdale-wirehost: {message}");
             std::process::ExitCode::FAILURE
         }
     }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,4 +1,4 @@
-//! Every decision of cottonline. Its types, events and actions are in `interface.rs`.
+//! Every decision of larchdale. Its types, events and actions are in `interface.rs`.
 //!
 //! The ordinary path follows Onderwater, Bhulai and van der Mei, "On the Control of a Queueing System with
 //! Aging State Information" (2015), eq. 24 with alpha 0: a request names as oldest copy accepted the fresh
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A small fleet and shorthands for driving a router by events.
 #![allow(dead_code)]
 
-use cottonline::interface::*;
-use cottonline::Router;
+use larchdale::interface::*;
+use larchdale::Router;
 
 pub const MS: Time = 1_000;
 pub const S: Time = 1_000_000;
--- a/tests/many_routers.rs
+++ b/tests/many_routers.rs
@@ -1,8 +1,8 @@
 //! What only shows when many routers share a server: their parts must add up to what it bears.
 mod common;
 use common::*;
-use cottonline::interface::*;
-use cottonline::Router;
+use larchdale::interface::*;
+use larchdale::Router;
 use std::collections::BTreeMap;
 
 const ROUTERS: u32 = 260;
--- a/tests/ordinary.rs
+++ b/tests/ordinary.rs
@@ -1,11 +1,11 @@
 //! The ordinary path: accepted age, cache and source.
 mod common;
 use common::*;
-use cottonline::interface::*;
+use larchdale::interface::*;
 use std::collections::BTreeMap;
 
 /// Keeps `n` requests under way without ending them, spread over objects.
-fn hold(router: &mut cottonline::Router, now: Time, n: usize) {
+fn hold(router: &mut larchdale::Router, now: Time, n: usize) {
     for k in 0..n {
         ask(router, now, &format!("held-{k}"), PAGE, 1000 + k as u64);
     }
--- a/tests/random_events.rs
+++ b/tests/random_events.rs
@@ -1,7 +1,7 @@
 //! Seeded random events, legal and odd: no panic, and the rules hold as seen from the actions alone.
 mod common;
 use common::*;
-use cottonline::interface::*;
+use larchdale::interface::*;
 use std::collections::{BTreeMap, BTreeSet};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -71,7 +71,7 @@
 
 fn play(seed: u64, settings: Settings) {
     let mut dice = Dice(seed, 0);
-    let mut r = cottonline::Router::new(settings.clone(), seed);
+    let mut r = larchdale::Router::new(settings.clone(), seed);
     let mut world = World::default();
     let mut now = T0;
     let codes = [
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1,7 +1,7 @@
 //! The five rules and what guards them.
 mod common;
 use common::*;
-use cottonline::interface::*;
+use larchdale::interface::*;
 
 #[test]
 fn a_safe_request_is_tried_again_after_each_failure_and_never_twice_at_once() {
@@ -218,7 +218,7 @@
     let (bad, ..) = sent(&ask(&mut r, T0 + S, "first", VIDEO, 5));
     finish(&mut r, T0 + S, "first", 0, Code::ConnectFailed);
     finish(&mut r, T0 + S, "first", 1, Code::Served);
-    let at = |r: &mut cottonline::Router, now: Time, id: &str| sent(&ask(r, now, id, VIDEO, 5)).0;
+    let at = |r: &mut larchdale::Router, now: Time, id: &str| sent(&ask(r, now, id, VIDEO, 5)).0;
     assert_ne!(at(&mut r, T0 + S + MS, "soon"), bad, "ejected by one refused connection");
     assert_eq!(at(&mut r, T0 + 4 * S, "trial"), bad, "a trial once the time is up");
     assert_ne!(at(&mut r, T0 + 4 * S, "next"), bad, "and only one at a time");
--- a/tests/wirehost.rs
+++ b/tests/wirehost.rs
@@ -4,7 +4,7 @@
 use std::process::{Command, Output, Stdio};
 
 fn run(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_cottonline-wirehost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_larchdale-wirehost"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
