--- a/src/bin/larchdale-wirehost.rs
+++ b/src/bin/larchdale-wirehost.rs
@@ -1,10 +1,8 @@
 //! Hosts routers on the wire: one line of JSON in, one line out. It translates and decides nothing.
 #![forbid(unsafe_code)]
 
-use larchdale::interface::{
-    Action, Class, Code, ColdStart, Detail, Effect, Event, Fetch, Group, Listed, Member, Note, Outcome,
-    Report, Request, Role, Settings,
-};
+use larchdale::interface::{Action, Code, Event, Fetch, Listed, Member, Note, Outcome, Report, Request};
+use larchdale::settings::Document;
 use larchdale::Router;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -26,7 +24,7 @@
         router_id: u64,
         #[serde(default)]
         rng_seed: u64,
-        settings: Box<WireSettings>,
+        settings: Box<Document>,
     },
     #[serde(rename = "KILLED")]
     Killed { router_id: u64 },
@@ -108,67 +106,6 @@
     came_up_us: u64,
 }
 
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "kebab-case", default)]
-struct WireSettings {
-    balancers: u32,
-    classes: Vec<WireClass>,
-    discovery: String,
-    domain: WireDomain,
-    limits: WireLimits,
-    rules: WireRules,
-    weight_source: String,
-    zone: usize,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "kebab-case", default)]
-struct WireClass {
-    aim_stretch: f64,
-    promise_us: u64,
-    semantics: String,
-    dedup_scope: String,
-    window_us: u64,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "kebab-case", default)]
-struct WireDomain {
-    can_join: bool,
-    crew_by_zone: Vec<u32>,
-    detail: String,
-    direct: bool,
-    flow_kb_per_s: f64,
-    inlet_kb_per_s: Vec<f64>,
-    max_age_us: Vec<u64>,
-    stale_for_us: Vec<u64>,
-    pass_on: Vec<bool>,
-    parent_breaks_at: f64,
-    parent_cold_from: f64,
-    parent_ramp_us: u64,
-    purge_done_us: u64,
-    source_kind: Option<i64>,
-    upper_kind: Option<i64>,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "kebab-case", default)]
-struct WireLimits {
-    max_attempts: u32,
-    may_cancel: bool,
-    retry_after: bool,
-    max_retry_after_us: u64,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "kebab-case", default)]
-struct WireRules {
-    fall_us: u64,
-    start_capacity: f64,
-    tip_multiple: f64,
-    warm_within_us: u64,
-}
-
 #[derive(Serialize)]
 struct Reply {
     out: Vec<WireAction>,
@@ -205,8 +142,7 @@
 /// A router and what its settings say of kinds.
 struct Host {
     router: Router,
-    parent_kind: i64,
-    origin_kind: i64,
+    settings: Box<Document>,
 }
 
 fn object(text: &str) -> Result<u64, String> {
@@ -216,72 +152,11 @@
     u64::from_str_radix(text, 16).map_err(|_| format!("object '{text}' is not hex"))
 }
 
-fn settings(s: &WireSettings) -> Settings {
-    let d = &s.domain;
-    let class = |(n, c): (usize, &WireClass)| Class {
-        fresh: d.max_age_us.get(n).copied().unwrap_or(0),
-        grace: d.stale_for_us.get(n).copied().unwrap_or(0),
-        uncacheable: d.pass_on.get(n).copied().unwrap_or(false),
-        aim: c.promise_us,
-        aim_stretch: c.aim_stretch,
-        effect: match c.semantics.as_str() {
-            "idempotent" => Effect::Safe,
-            "deduplicated" => Effect::Keyed,
-            _ => Effect::Unsafe,
-        },
-        group: match c.dedup_scope.as_str() {
-            "all" => Group::All,
-            "zone" => Group::Zone,
-            _ => Group::Cell,
-        },
-        window: c.window_us,
-    };
-    Settings {
-        zone: s.zone,
-        routers: s.balancers,
-        routers_by_zone: d.crew_by_zone.clone(),
-        classes: s.classes.iter().enumerate().map(class).collect(),
-        pace_kb_s: d.flow_kb_per_s,
-        link_kb_s: d.inlet_kb_per_s.clone(),
-        weights_are_sizes: matches!(s.weight_source.as_str(), "nominal" | "rough"),
-        cache_start: ColdStart {
-            share: s.rules.start_capacity,
-            ramp: s.rules.warm_within_us,
-            multiple: s.rules.tip_multiple,
-        },
-        parent_start: ColdStart {
-            share: d.parent_cold_from,
-            ramp: d.parent_ramp_us,
-            multiple: d.parent_breaks_at,
-        },
-        fall_window: s.rules.fall_us,
-        purge_done: d.purge_done_us,
-        direct: d.direct,
-        can_join: d.can_join,
-        detail: match d.detail.as_str() {
-            "all" => Detail::All,
-            "hit" => Detail::Hits,
-            _ => Detail::Silent,
-        },
-        max_attempts: s.limits.max_attempts,
-        may_cancel: s.limits.may_cancel,
-        retry_after: s.limits.retry_after,
-        max_retry_after: s.limits.max_retry_after_us,
-        must_watch: s.discovery == "ask",
-    }
-}
-
 impl Host {
     fn member(&self, m: WireMember) -> Member {
         Member {
             id: m.cache,
-            role: if m.family_type == self.origin_kind {
-                Role::Origin
-            } else if m.family_type == self.parent_kind {
-                Role::Parent
-            } else {
-                Role::Cache
-            },
+            role: self.settings.role(m.family_type),
             listed: match m.mode.as_str() {
                 "healthy" => Listed::Healthy,
                 "cordoned" => Listed::Draining,
@@ -439,13 +314,9 @@
     let mut actions = Vec::new();
     for wire in batch.input {
         match wire {
-            WireEvent::Attach { router_id, rng_seed, settings: s } => {
-                let host = Host {
-                    router: Router::new(settings(&s), rng_seed),
-                    parent_kind: s.domain.upper_kind.unwrap_or(-1),
-                    origin_kind: s.domain.source_kind.unwrap_or(-1),
-                };
-                hosts.insert(router_id, host);
+            WireEvent::Attach { router_id, rng_seed, settings } => {
+                let router = Router::new(settings.for_router(), rng_seed);
+                hosts.insert(router_id, Host { router, settings });
             }
             WireEvent::Killed { router_id } => {
                 hosts.remove(&router_id);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,12 +2,15 @@
 //!
 //! Build a [`Router`] from [`interface::Settings`] and a seed, then hand it the time and one
 //! [`interface::Event`] after another; it appends the [`interface::Action`]s to carry out.
-//! It has no clock, no input or output, no threads and no shared state.
+//! It has no clock, no input or output, no threads and no shared state. Round it, [`net`] is the real doorman
+//! on sockets; [`settings`] reads the operators' settings for both programs.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
 pub mod interface;
 mod logic;
+pub mod net;
+pub mod settings;
 
 /// Compiles and runs the example of the README.
 #[cfg(doctest)]
--- /dev/null
+++ b/src/net/clock.rs
@@ -0,0 +1,45 @@
+//! Time: whole microseconds of the monotonic clock, and one offset from it to Unix time.
+
+use crate::interface::Time;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+/// Where the clock stands at the start. Not 0, so that moments before the start can be told as well.
+const AT_START: Time = 1_000_000_000_000;
+
+/// The clock of one process.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    start: Instant,
+    unix_at_start: Time,
+}
+
+impl Clock {
+    /// A clock that starts now.
+    pub fn start() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { start: Instant::now(), unix_at_start: unix.as_micros() as Time }
+    }
+
+    /// The time; read once a turn of the loop.
+    pub fn now(&self) -> Time {
+        AT_START + self.start.elapsed().as_micros() as Time
+    }
+
+    /// The moment of a Unix millisecond; 0, which means long ago, for 0 and for what is too long ago to tell.
+    pub fn of_unix_ms(&self, ms: u64) -> Time {
+        ms.saturating_mul(1000).saturating_add(AT_START).saturating_sub(self.unix_at_start)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn unix_milliseconds_fall_on_the_clock_and_long_ago_is_0() {
+        let clock = Clock { start: Instant::now(), unix_at_start: 1_700_000_000_000_000 };
+        assert_eq!(clock.of_unix_ms(1_700_000_000_250), AT_START + 250_000);
+        assert_eq!(clock.of_unix_ms(1_699_999_999_000), AT_START - 1_000_000);
+        assert_eq!(clock.of_unix_ms(0), 0);
+    }
+}
--- /dev/null
+++ b/src/net/config.rs
@@ -0,0 +1,217 @@
+//! The configuration: a JSON file named by `PROXY_CONFIG`.
+
+use super::proto::command_channel::{Command, Purge, Record, State};
+use crate::settings::Document;
+use serde::Deserialize;
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// What a doorman is told at its start.
+#[derive(Debug)]
+pub struct Config {
+    /// Its name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// For random numbers; new with each start.
+    pub seed: u64,
+    /// The most descriptors that it may hold.
+    pub sockets: usize,
+    /// Where the command channel is.
+    pub channel: SocketAddr,
+    /// Number of the last event in `known`.
+    pub cursor: u64,
+    /// The events up to the start.
+    pub known: Vec<Command>,
+    /// The settings.
+    pub settings: Document,
+}
+
+/// Why a configuration can't be used, in one line.
+#[derive(Debug)]
+pub enum ConfigError {
+    /// `PROXY_CONFIG` is not set.
+    NotNamed,
+    /// The file can't be read.
+    Unreadable(PathBuf, std::io::Error),
+    /// The file is not the JSON that is expected.
+    NotJson(PathBuf, serde_json::Error),
+    /// A value makes no sense.
+    Value(&'static str, String),
+}
+
+impl fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ConfigError::NotNamed => f.write_str("PROXY_CONFIG does not name a configuration file"),
+            ConfigError::Unreadable(path, e) => write!(f, "can't read {}: {e}", path.display()),
+            ConfigError::NotJson(path, e) => write!(f, "{} is not a configuration: {e}", path.display()),
+            ConfigError::Value(what, value) => write!(f, "configuration: bad {what}: '{value}'"),
+        }
+    }
+}
+
+impl std::error::Error for ConfigError {}
+
+#[derive(Deserialize)]
+struct File {
+    #[serde(default)]
+    name: String,
+    listen: String,
+    seed: String,
+    limits: FileLimits,
+    channel: String,
+    #[serde(default)]
+    known: Known,
+    settings: Document,
+}
+
+#[derive(Deserialize)]
+struct FileLimits {
+    sockets: usize,
+}
+
+#[derive(Deserialize, Default)]
+struct Known {
+    cursor: u64,
+    cmds: Vec<KnownEvent>,
+}
+
+#[derive(Deserialize)]
+struct KnownEvent {
+    nodes: Option<Nodes>,
+    drop: Option<Dropped>,
+}
+
+#[derive(Deserialize)]
+struct Nodes {
+    #[serde(default)]
+    reset: bool,
+    instances: Vec<Instance>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Instance {
+    instance_id: String,
+    #[serde(default)]
+    host_port: String,
+    #[serde(default)]
+    zone: String,
+    #[serde(default)]
+    machine_type: String,
+    #[serde(default)]
+    cell: u32,
+    lifecycle: String,
+    #[serde(default)]
+    weight: f64,
+    #[serde(default)]
+    started_at_ms: u64,
+}
+
+#[derive(Deserialize)]
+struct Dropped {
+    id: Option<String>,
+    family: Option<u64>,
+    when: u64,
+}
+
+impl Config {
+    /// Reads the file that the environment names.
+    pub fn from_env() -> Result<Config, ConfigError> {
+        let path = PathBuf::from(std::env::var_os("PROXY_CONFIG").ok_or(ConfigError::NotNamed)?);
+        let text = std::fs::read_to_string(&path).map_err(|e| ConfigError::Unreadable(path.clone(), e))?;
+        Config::parse(&text, path)
+    }
+
+    /// Reads a configuration; `path` is for messages.
+    pub fn parse(text: &str, path: PathBuf) -> Result<Config, ConfigError> {
+        let file: File = serde_json::from_str(text).map_err(|e| ConfigError::NotJson(path, e))?;
+        let settings = file.settings;
+        let command = |event: KnownEvent| known(event, &settings);
+        let known = file.known.cmds.into_iter().map(command).collect::<Result<Vec<_>, _>>()?;
+        check(&settings)?;
+        Ok(Config {
+            name: file.name,
+            listen: address("listen", file.listen)?,
+            seed: u64::from_str_radix(&file.seed, 16).map_err(|_| ConfigError::Value("seed", file.seed))?,
+            sockets: file.limits.sockets,
+            channel: address("channel", file.channel)?,
+            cursor: file.known.cursor,
+            known,
+            settings,
+        })
+    }
+}
+
+/// Figures without which nothing could be served.
+fn check(settings: &Document) -> Result<(), ConfigError> {
+    let (limits, bad) = (&settings.limits, |what| Err(ConfigError::Value(what, "none".to_owned())));
+    if settings.classes.is_empty() {
+        return bad("settings.classes");
+    }
+    if limits.multiplex == 0 {
+        return bad("settings.limits.multiplex");
+    }
+    if limits.max_attempts == 0 {
+        return bad("settings.limits.max-attempts");
+    }
+    if limits.dial_timeout_us == 0 {
+        return bad("settings.limits.dial-timeout-us");
+    }
+    if limits.conn_idle_us == 0 {
+        return bad("settings.limits.conn-idle-us");
+    }
+    Ok(())
+}
+
+fn address(what: &'static str, text: String) -> Result<SocketAddr, ConfigError> {
+    text.parse().map_err(|_| ConfigError::Value(what, text))
+}
+
+fn known(event: KnownEvent, settings: &Document) -> Result<Command, ConfigError> {
+    if let Some(nodes) = event.nodes {
+        let records = nodes.instances.into_iter().map(|i| record(i, settings)).collect::<Result<_, _>>()?;
+        return Ok(Command::Depots { whole: nodes.reset, records });
+    }
+    let dropped =
+        event.drop.ok_or_else(|| ConfigError::Value("known event", "neither nodes nor drop".into()))?;
+    let what = match (dropped.id, dropped.family) {
+        (Some(id), _) => {
+            Purge::Object(u64::from_str_radix(&id, 16).map_err(|_| ConfigError::Value("object", id))?)
+        }
+        (None, Some(group)) => Purge::Group(group),
+        (None, None) => return Err(ConfigError::Value("purge", "neither id nor family".into())),
+    };
+    Ok(Command::Purge { what, when_ms: dropped.when })
+}
+
+fn record(entry: Instance, settings: &Document) -> Result<Record, ConfigError> {
+    let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
+    let state = match entry.lifecycle.as_str() {
+        "SERVING" => State::Ready,
+        "DRAINING" => State::Draining,
+        "DELETED" => State::Gone,
+        _ => return Err(ConfigError::Value("lifecycle", entry.lifecycle)),
+    };
+    // What is gone may come without its details.
+    let gone = state == State::Gone;
+    let zone = place(&settings.failure_domains, &entry.zone).or(gone.then_some(0));
+    let kind = place(&settings.kinds, &entry.machine_type).or(gone.then_some(0));
+    let unset = || SocketAddr::from(([0, 0, 0, 0], 0));
+    Ok(Record {
+        address: match entry.host_port.parse() {
+            Ok(address) => address,
+            Err(_) if gone => unset(),
+            Err(_) => return Err(ConfigError::Value("hostPort", entry.host_port)),
+        },
+        id: entry.instance_id,
+        state,
+        zone: zone.ok_or(ConfigError::Value("zone", entry.zone))?,
+        kind: kind.ok_or(ConfigError::Value("machineType", entry.machine_type))?,
+        cell: entry.cell,
+        weight: entry.weight,
+        started_ms: entry.started_at_ms,
+    })
+}
--- /dev/null
+++ b/src/net/connection.rs
@@ -0,0 +1,268 @@
+//! One connection: its buffers and states. It knows no protocol; what happens on it, its owner hears by
+//! callbacks.
+//!
+//! ```text
+//! Dialing --connected--> Open --finish()--> Finishing --flushed--> Closed
+//!    |                    |                                          ^
+//!    +----failed----------+------ended, failed, refused, close()-----+
+//! ```
+
+use crate::interface::Time;
+use crate::invariant;
+use bytes::BytesMut;
+use mio::net::TcpStream;
+use std::collections::VecDeque;
+use std::io::{self, ErrorKind, Read, Write};
+
+/// Bytes read at a time.
+const CHUNK: usize = 64 * 1024;
+/// Bytes read in one turn: then others have theirs.
+const TURN: usize = 512 * 1024;
+/// An empty buffer above this is given back.
+const KEPT: usize = 64 * 1024;
+
+/// What carries the bytes: a socket, or in tests a script.
+pub trait Transport: Read + Write {
+    /// Whether a dial has come through; an error if it has failed.
+    fn connected(&self) -> io::Result<bool>;
+}
+
+impl Transport for TcpStream {
+    fn connected(&self) -> io::Result<bool> {
+        if let Some(e) = self.take_error()? {
+            return Err(e);
+        }
+        match self.peer_addr() {
+            Ok(_) => Ok(true),
+            Err(e) if e.kind() == ErrorKind::NotConnected => Ok(false),
+            Err(e) => Err(e),
+        }
+    }
+}
+
+/// Why a connection is no more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Closed {
+    /// The dial failed or took too long.
+    NeverOpened,
+    /// The peer ended it, or it broke.
+    Lost,
+    /// We ended it.
+    Ours,
+}
+
+/// What the owner of a connection hears.
+pub trait Callbacks {
+    /// The dial has come through.
+    fn opened(&mut self) {}
+    /// Bytes have come; takes off what is whole. An error refuses the rest.
+    fn received(&mut self, bytes: &mut BytesMut) -> Result<(), super::proto::Malformed>;
+}
+
+/// The states of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// Not yet through.
+    Dialing,
+    /// Both ways open.
+    Open,
+    /// Nothing more is read; closes once all is written.
+    Finishing,
+    /// No more.
+    Closed(Closed),
+}
+
+/// One connection.
+pub struct Connection<T> {
+    transport: T,
+    state: State,
+    inbox: BytesMut,
+    outbox: VecDeque<Vec<u8>>,
+    /// How much of the first piece in the outbox is written.
+    started: usize,
+    queued: u64,
+    written: u64,
+    /// More may be there to read than was read.
+    unread: bool,
+    paused: bool,
+    /// When bytes last came, or the dial came through.
+    pub heard: Time,
+    /// When bytes were last written, or there was nothing to write.
+    pub moved: Time,
+}
+
+impl<T: Transport> Connection<T> {
+    /// One that is being dialed.
+    pub fn dialing(transport: T, now: Time) -> Self {
+        Self::new(transport, State::Dialing, now)
+    }
+
+    /// One that was accepted.
+    pub fn accepted(transport: T, now: Time) -> Self {
+        Self::new(transport, State::Open, now)
+    }
+
+    fn new(transport: T, state: State, now: Time) -> Self {
+        Connection {
+            transport,
+            state,
+            inbox: BytesMut::new(),
+            outbox: VecDeque::new(),
+            started: 0,
+            queued: 0,
+            written: 0,
+            unread: false,
+            paused: false,
+            heard: now,
+            moved: now,
+        }
+    }
+
+    /// Its state.
+    pub fn state(&self) -> State {
+        self.state
+    }
+
+    /// Whether bytes can be exchanged.
+    pub fn is_open(&self) -> bool {
+        self.state == State::Open
+    }
+
+    /// The transport.
+    pub fn transport(&mut self) -> &mut T {
+        &mut self.transport
+    }
+
+    /// Bytes written so far, of all that were queued.
+    pub fn written(&self) -> u64 {
+        self.written
+    }
+
+    /// Bytes queued since the beginning: a message is wholly written once `written` is what this was then.
+    pub fn queued(&self) -> u64 {
+        self.queued
+    }
+
+    /// Bytes that wait to be written.
+    pub fn backlog(&self) -> usize {
+        (self.queued - self.written) as usize
+    }
+
+    /// Stops reading, so that a peer that does not read can't make us gather answers for it; or goes on.
+    pub fn pause(&mut self, paused: bool) {
+        self.paused = paused;
+    }
+
+    /// Whether there may be something to read that no event will tell of.
+    pub fn has_unread(&self) -> bool {
+        self.unread && !self.paused && self.is_open()
+    }
+
+    /// Takes what the poll has told.
+    pub fn ready(&mut self, now: Time, readable: bool, writable: bool, callbacks: &mut impl Callbacks) {
+        self.unread |= readable;
+        if self.state == State::Dialing && (writable || readable) {
+            match self.transport.connected() {
+                Ok(true) => {
+                    self.state = State::Open;
+                    (self.heard, self.moved) = (now, now);
+                    callbacks.opened();
+                }
+                Ok(false) => return,
+                Err(_) => return self.end(Closed::NeverOpened),
+            }
+        }
+        if writable {
+            self.flush(now);
+        }
+        self.read(now, callbacks);
+    }
+
+    fn read(&mut self, now: Time, callbacks: &mut impl Callbacks) {
+        let mut left = TURN;
+        while self.has_unread() && left > 0 {
+            let from = self.inbox.len();
+            self.inbox.resize(from + CHUNK, 0);
+            let got = self.transport.read(&mut self.inbox[from..]);
+            self.inbox.truncate(from + *got.as_ref().unwrap_or(&0));
+            match got {
+                Ok(0) => return self.end(Closed::Lost),
+                Ok(n) => {
+                    self.heard = now;
+                    left = left.saturating_sub(n);
+                    if callbacks.received(&mut self.inbox).is_err() {
+                        // The owner may still queue word of it; the next flush closes.
+                        self.inbox.clear();
+                        self.state = State::Finishing;
+                    }
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => self.unread = false,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(_) => return self.end(Closed::Lost),
+            }
+        }
+        if self.inbox.is_empty() && self.inbox.capacity() > KEPT {
+            self.inbox = BytesMut::new();
+        }
+    }
+
+    /// Queues bytes; [`Connection::flush`] writes them. What is closed takes nothing.
+    pub fn queue(&mut self, bytes: Vec<u8>) {
+        if matches!(self.state, State::Dialing | State::Open | State::Finishing) && !bytes.is_empty() {
+            self.queued += bytes.len() as u64;
+            self.outbox.push_back(bytes);
+        }
+    }
+
+    /// Writes what can be written now.
+    pub fn flush(&mut self, now: Time) {
+        if !matches!(self.state, State::Open | State::Finishing) {
+            return;
+        }
+        while let Some(piece) = self.outbox.front() {
+            match self.transport.write(&piece[self.started..]) {
+                Ok(0) => return self.end(Closed::Lost),
+                Ok(n) => {
+                    self.moved = now;
+                    self.written += n as u64;
+                    self.started += n;
+                    if self.started == piece.len() {
+                        self.started = 0;
+                        self.outbox.pop_front();
+                    }
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(_) => return self.end(Closed::Lost),
+            }
+        }
+        self.moved = now;
+        invariant!(self.written == self.queued, "an empty outbox means that all is written");
+        if self.state == State::Finishing {
+            self.end(Closed::Ours);
+        }
+    }
+
+    /// Reads no more and closes once all is written.
+    pub fn finish(&mut self, now: Time) {
+        match self.state {
+            State::Open => self.state = State::Finishing,
+            State::Dialing => return self.end(Closed::Ours),
+            State::Finishing | State::Closed(_) => {}
+        }
+        self.flush(now);
+    }
+
+    /// Closes at once.
+    pub fn close(&mut self) {
+        self.end(Closed::Ours);
+    }
+
+    fn end(&mut self, why: Closed) {
+        if !matches!(self.state, State::Closed(_)) {
+            self.state = State::Closed(why);
+            self.outbox.clear();
+            self.inbox = BytesMut::new();
+        }
+    }
+}
--- /dev/null
+++ b/src/net/event_loop.rs
@@ -0,0 +1,154 @@
+//! One poll, one timer queue, the signals: what a turn of the loop waits for.
+
+use crate::interface::Time;
+use mio::event::Source;
+use mio::net::UnixStream;
+use mio::{Events, Interest, Poll, Token};
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::io::{self, Read};
+use std::time::Duration;
+
+/// Token of the signals' pipe.
+pub const SIGNALS: Token = Token(0);
+const FIRST_FREE: usize = 1;
+/// Events taken in one turn.
+const EVENTS: usize = 512;
+
+/// Timers of any kind, in order of their time and, within one moment, of their setting.
+#[derive(Debug)]
+pub struct Timers<T> {
+    heap: BinaryHeap<Reverse<(Time, u64, Slot<T>)>>,
+    set: u64,
+}
+
+/// Carries a timer's meaning through the heap without taking part in the order.
+#[derive(Debug)]
+struct Slot<T>(T);
+
+impl<T> PartialEq for Slot<T> {
+    fn eq(&self, _: &Self) -> bool {
+        true
+    }
+}
+impl<T> Eq for Slot<T> {}
+impl<T> PartialOrd for Slot<T> {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl<T> Ord for Slot<T> {
+    fn cmp(&self, _: &Self) -> std::cmp::Ordering {
+        std::cmp::Ordering::Equal
+    }
+}
+
+impl<T> Default for Timers<T> {
+    fn default() -> Self {
+        Timers { heap: BinaryHeap::new(), set: 0 }
+    }
+}
+
+impl<T> Timers<T> {
+    /// Sets a timer. There is no taking back: who gets one must see whether it still means anything.
+    pub fn set(&mut self, at: Time, what: T) {
+        self.set += 1;
+        self.heap.push(Reverse((at, self.set, Slot(what))));
+    }
+
+    /// The next timer that is due, with its time.
+    pub fn due(&mut self, now: Time) -> Option<(Time, T)> {
+        self.heap.peek().filter(|t| t.0 .0 <= now)?;
+        self.heap.pop().map(|Reverse((at, _, what))| (at, what.0))
+    }
+
+    /// When the next one is due.
+    pub fn next(&self) -> Option<Time> {
+        self.heap.peek().map(|t| t.0 .0)
+    }
+}
+
+/// What became ready.
+#[derive(Clone, Copy, Debug)]
+pub struct Ready {
+    /// Whose it is.
+    pub token: Token,
+    /// There is something to read, or an end.
+    pub readable: bool,
+    /// There is room to write, or a dial has ended.
+    pub writable: bool,
+}
+
+/// The poll with the tokens and the signals.
+pub struct EventLoop {
+    poll: Poll,
+    events: Events,
+    next_token: usize,
+    signals: UnixStream,
+}
+
+impl EventLoop {
+    /// A loop that hears of SIGTERM and SIGINT.
+    pub fn new() -> io::Result<Self> {
+        let poll = Poll::new()?;
+        let (ours, theirs) = std::os::unix::net::UnixStream::pair()?;
+        ours.set_nonblocking(true)?;
+        theirs.set_nonblocking(true)?;
+        for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
+            signal_hook::low_level::pipe::register(signal, theirs.try_clone()?)?;
+        }
+        let mut signals = UnixStream::from_std(ours);
+        poll.registry().register(&mut signals, SIGNALS, Interest::READABLE)?;
+        Ok(EventLoop { poll, events: Events::with_capacity(EVENTS), next_token: FIRST_FREE, signals })
+    }
+
+    /// Watches a socket under a token that was never used before, so that events of a closed one can't be
+    /// taken for those of its successor.
+    pub fn add(&mut self, source: &mut impl Source, interest: Interest) -> io::Result<Token> {
+        let token = Token(self.next_token);
+        self.next_token += 1;
+        self.poll.registry().register(source, token, interest)?;
+        Ok(token)
+    }
+
+    /// Waits until something is ready, for `wait` at most, and appends what is.
+    pub fn wait(&mut self, wait: Option<Duration>, ready: &mut Vec<Ready>) -> io::Result<()> {
+        match self.poll.poll(&mut self.events, wait) {
+            Err(e) if e.kind() != io::ErrorKind::Interrupted => return Err(e),
+            _ => {}
+        }
+        ready.extend(self.events.iter().map(|e| Ready {
+            token: e.token(),
+            readable: e.is_readable() || e.is_read_closed() || e.is_error(),
+            writable: e.is_writable() || e.is_write_closed() || e.is_error(),
+        }));
+        Ok(())
+    }
+
+    /// Whether a signal to end has come since the last call.
+    pub fn told_to_end(&mut self) -> bool {
+        let mut bytes = [0; 64];
+        let mut told = false;
+        while matches!(self.signals.read(&mut bytes), Ok(n) if n > 0) {
+            told = true;
+        }
+        told
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn timers_come_in_order_of_time_then_of_setting() {
+        let mut timers = Timers::default();
+        for (at, what) in [(30, 'c'), (10, 'a'), (30, 'd'), (20, 'b')] {
+            timers.set(at, what);
+        }
+        assert_eq!(timers.next(), Some(10));
+        assert_eq!(timers.due(9).map(|t| t.1), None);
+        let order: String = std::iter::from_fn(|| timers.due(30)).map(|t| t.1).collect();
+        assert_eq!(order, "abcd");
+    }
+}
--- /dev/null
+++ b/src/net/pool.rs
@@ -0,0 +1,208 @@
+//! The connections to depots, kept by the depot's id: a new depot may have the address of one that is gone.
+
+use super::connection::Connection;
+use crate::interface::{Id, Listed, Time};
+use mio::net::TcpStream;
+use mio::Token;
+use rustc_hash::FxHashMap;
+use std::net::SocketAddr;
+
+/// An open connection on which something was asked and nothing at all came back for this long may lead to a
+/// machine that has vanished: others are used, or a new one is dialed.
+const SILENT: Time = 1_000_000;
+
+/// What the list says of a depot, as far as connections go.
+#[derive(Clone, Debug)]
+pub struct Depot {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Whether it takes new work.
+    pub listed: Listed,
+    /// When it last started; 0: long ago.
+    pub started: Time,
+}
+
+/// One connection to a depot, with what was asked on it.
+pub struct Link<T = TcpStream> {
+    /// The connection.
+    pub conn: Connection<T>,
+    /// To whom.
+    pub depot: Id,
+    /// When the dial began.
+    pub dialed: Time,
+    /// Attempts written to it that have not ended.
+    pub out: FxHashMap<Id, u32>,
+    /// Attempts that wait for the dial.
+    pub waiting: Vec<Id>,
+    /// Since when an answer, any answer, has been awaited.
+    pub asked: Option<Time>,
+    /// When it last had an attempt.
+    pub used: Time,
+}
+
+impl<T: super::connection::Transport> Link<T> {
+    /// A new one.
+    pub fn new(conn: Connection<T>, depot: Id, now: Time) -> Self {
+        let (out, waiting) = (FxHashMap::default(), Vec::new());
+        Link { conn, depot, dialed: now, out, waiting, asked: None, used: now }
+    }
+
+    /// Whether what was asked on it has met with silence.
+    pub fn is_silent(&self, now: Time) -> bool {
+        self.asked.is_some_and(|t| now.saturating_sub(t) >= SILENT)
+    }
+
+    /// Notes that bytes have come.
+    pub fn heard(&mut self, now: Time) {
+        self.asked = if self.out.is_empty() { None } else { Some(now) };
+    }
+
+    /// Whether no attempt needs it.
+    pub fn is_idle(&self) -> bool {
+        self.out.is_empty() && self.waiting.is_empty()
+    }
+}
+
+/// Where an attempt may go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Choice {
+    /// On this open connection.
+    Use(Token),
+    /// Behind this dial.
+    Wait(Token),
+    /// On a connection that is yet to be dialed.
+    Dial(SocketAddr),
+    /// Nowhere: as many connections as allowed, all full; or the depot is not listed.
+    Full,
+}
+
+/// All connections to depots.
+pub struct Pool<T = TcpStream> {
+    depots: FxHashMap<Id, Depot>,
+    links: FxHashMap<Token, Link<T>>,
+    by_depot: FxHashMap<Id, Vec<Token>>,
+    multiplex: usize,
+    most: usize,
+    most_each: usize,
+}
+
+impl<T: super::connection::Transport> Pool<T> {
+    /// At most `most` connections, `most_each` to one depot, each with `multiplex` attempts.
+    pub fn new(multiplex: usize, most: usize, most_each: usize) -> Self {
+        Pool {
+            depots: FxHashMap::default(),
+            links: FxHashMap::default(),
+            by_depot: FxHashMap::default(),
+            multiplex,
+            most,
+            most_each,
+        }
+    }
+
+    /// The listed state of a depot.
+    pub fn depot(&self, id: &str) -> Option<&Depot> {
+        self.depots.get(id)
+    }
+
+    /// Ids of all depots.
+    pub fn depots(&self) -> impl Iterator<Item = &Id> {
+        self.depots.keys()
+    }
+
+    /// Takes what the list says; gives the connections that lead to what is there no more: those opened
+    /// before the depot's latest start, or to an address that it has left.
+    pub fn list(&mut self, id: &Id, depot: Depot) -> Vec<Token> {
+        let moved = self.depots.get(id).is_some_and(|d| d.address != depot.address);
+        let started = depot.started;
+        self.depots.insert(id.clone(), depot);
+        let old = |t: &&Token| moved || self.links.get(t).is_some_and(|l| l.dialed < started);
+        self.tokens(id).iter().filter(old).copied().collect()
+    }
+
+    /// Marks a depot as gone. Its connections end when they are idle.
+    pub fn unlist(&mut self, id: &str) {
+        if let Some(depot) = self.depots.get_mut(id) {
+            depot.listed = Listed::Gone;
+        }
+    }
+
+    fn tokens(&self, depot: &str) -> &[Token] {
+        self.by_depot.get(depot).map_or(&[], Vec::as_slice)
+    }
+
+    /// Adds a connection.
+    pub fn add(&mut self, token: Token, link: Link<T>) {
+        self.by_depot.entry(link.depot.clone()).or_default().push(token);
+        self.links.insert(token, link);
+    }
+
+    /// Takes a connection out.
+    pub fn remove(&mut self, token: Token) -> Option<Link<T>> {
+        let link = self.links.remove(&token)?;
+        if let Some(tokens) = self.by_depot.get_mut(&link.depot) {
+            tokens.retain(|&t| t != token);
+            if tokens.is_empty() {
+                self.by_depot.remove(&link.depot);
+            }
+        }
+        Some(link)
+    }
+
+    /// A connection.
+    pub fn link(&mut self, token: Token) -> Option<&mut Link<T>> {
+        self.links.get_mut(&token)
+    }
+
+    /// All connections.
+    pub fn links(&self) -> impl Iterator<Item = (&Token, &Link<T>)> {
+        self.links.iter()
+    }
+
+    /// How many there are.
+    pub fn len(&self) -> usize {
+        self.links.len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.links.is_empty()
+    }
+
+    /// The connection on which an attempt goes to a depot. `spent` are those on which an earlier attempt of
+    /// the same request was given up: a late answer to that one could be taken for one to this.
+    pub fn choose(&self, depot: &str, now: Time, spent: &[Token]) -> Choice {
+        let Some(listed) = self.depots.get(depot) else { return Choice::Full };
+        let links = || self.tokens(depot).iter().filter_map(|t| Some((*t, self.links.get(t)?)));
+        // Purges and drains bind at what is written: nothing is put behind bytes that wait to be written.
+        let fits = |l: &Link<T>| l.conn.is_open() && l.out.len() < self.multiplex && l.conn.backlog() == 0;
+        let usable = || links().filter(|(t, l)| fits(l) && !spent.contains(t));
+        let awake = usable().filter(|(_, l)| !l.is_silent(now)).min_by_key(|(t, l)| (l.out.len(), *t));
+        if let Some((token, _)) = awake {
+            return Choice::Use(token);
+        }
+        let waits = |l: &Link<T>| l.conn.state() == super::connection::State::Dialing;
+        let dialing = links().find(|(_, l)| waits(l) && l.waiting.len() < self.multiplex);
+        if let Some((token, _)) = dialing {
+            return Choice::Wait(token);
+        }
+        if self.tokens(depot).len() < self.most_each && self.links.len() < self.most {
+            return Choice::Dial(listed.address);
+        }
+        let least_silent = usable().max_by_key(|(t, l)| (l.asked, *t));
+        least_silent.map_or(Choice::Full, |(t, _)| Choice::Use(t))
+    }
+
+    /// Connections to a depot that have stayed silent. When a dial to it gets no answer either, nobody is
+    /// there to answer on these.
+    pub fn silent(&self, depot: &str, now: Time) -> Vec<Token> {
+        let silent = |t: &&Token| self.links.get(t).is_some_and(|l| l.is_silent(now));
+        self.tokens(depot).iter().filter(silent).copied().collect()
+    }
+
+    /// Connections that nothing needs: idle for `limit`, or at once where the depot is gone.
+    pub fn idle(&self, now: Time, limit: Time) -> Vec<Token> {
+        let gone = |l: &Link<T>| self.depots.get(&l.depot).is_none_or(|d| d.listed == Listed::Gone);
+        let over = |l: &Link<T>| l.is_idle() && (gone(l) || now.saturating_sub(l.used) >= limit);
+        self.links.iter().filter(|(_, l)| over(l)).map(|(t, _)| *t).collect()
+    }
+}
--- /dev/null
+++ b/src/net/proto/command_channel.rs
@@ -0,0 +1,128 @@
+//! The command channel: numbered changes of the list of depots, and purges.
+
+use super::Malformed;
+use bytes::{Buf, BytesMut};
+use std::net::{Ipv4Addr, SocketAddr};
+
+const HEAD: usize = 4;
+const RECORD: usize = 27;
+/// More than a list of every depot can need: 65,535 records.
+const LENGTHS: std::ops::RangeInclusive<usize> = 9..=RECORD * 65_535 + 9;
+
+/// The state of a depot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// It serves.
+    Ready,
+    /// It finishes its work.
+    Draining,
+    /// It is gone.
+    Gone,
+}
+
+/// What the list says of one depot.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Record {
+    /// Its id as text.
+    pub id: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its state.
+    pub state: State,
+    /// Its zone, as a place in the settings' list.
+    pub zone: usize,
+    /// Its kind, as a place in the settings' list.
+    pub kind: usize,
+    /// Its cell.
+    pub cell: u32,
+    /// Its weight.
+    pub weight: f64,
+    /// Unix millisecond of a late start, or 0.
+    pub started_ms: u64,
+}
+
+/// What an event tells.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Command {
+    /// The list of depots, or its changes.
+    Depots {
+        /// Who is not named is gone.
+        whole: bool,
+        /// The entries.
+        records: Vec<Record>,
+    },
+    /// Copies older than a Unix millisecond are void.
+    Purge {
+        /// The object or the group.
+        what: Purge,
+        /// When it was purged.
+        when_ms: u64,
+    },
+}
+
+/// What is purged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Purge {
+    /// One object.
+    Object(u64),
+    /// All objects of a group.
+    Group(u64),
+}
+
+/// One frame of the channel; `None`: nothing new.
+pub type Numbered = (u64, Option<Command>);
+
+/// Takes one frame off the front of `bytes`, or leaves them as they are if it is not whole yet.
+pub fn decode(bytes: &mut BytesMut) -> Result<Option<Numbered>, Malformed> {
+    let Some(head) = bytes.first_chunk::<HEAD>() else { return Ok(None) };
+    let length = u32::from_be_bytes(*head) as usize;
+    if !LENGTHS.contains(&length) {
+        return Err(Malformed("frame length out of range"));
+    }
+    if bytes.len() < HEAD + length {
+        return Ok(None);
+    }
+    let mut frame = bytes.split_to(HEAD + length);
+    frame.advance(HEAD);
+    let (number, kind) = (frame.get_u64(), frame.get_u8());
+    let command = match (kind, frame.len()) {
+        (0, _) => None,
+        (1 | 2, size) if size % RECORD == 0 => {
+            let records = frame.chunks_exact(RECORD).map(record).collect::<Result<_, _>>()?;
+            Some(Command::Depots { whole: kind == 1, records })
+        }
+        (3, 16) => {
+            let what = Purge::Object(frame.get_u64());
+            Some(Command::Purge { what, when_ms: frame.get_u64() })
+        }
+        (4, 10) => {
+            let what = Purge::Group(u64::from(frame.get_u16()));
+            Some(Command::Purge { what, when_ms: frame.get_u64() })
+        }
+        _ => return Err(Malformed("unknown kind or size of an event")),
+    };
+    Ok(Some((number, command)))
+}
+
+fn record(mut r: &[u8]) -> Result<Record, Malformed> {
+    Ok(Record {
+        id: format!("s-{:08x}", r.get_u32()),
+        address: SocketAddr::from((Ipv4Addr::from_bits(r.get_u32()), r.get_u16())),
+        state: match r.get_u8() {
+            0 => State::Ready,
+            1 => State::Draining,
+            2 => State::Gone,
+            _ => return Err(Malformed("unknown state of a depot")),
+        },
+        zone: usize::from(r.get_u8()),
+        kind: usize::from(r.get_u8()),
+        cell: u32::from(r.get_u16()),
+        weight: f64::from(r.get_u32()) / 1000.0,
+        started_ms: r.get_u64(),
+    })
+}
+
+/// What a doorman writes on a new connection: the last event that it has.
+pub fn hello(cursor: u64) -> [u8; 8] {
+    cursor.to_be_bytes()
+}
--- /dev/null
+++ b/src/net/proto/frames.rs
@@ -0,0 +1,190 @@
+//! The clients' protocol: binary frames, big-endian.
+
+use super::{Ask, Malformed, Reply};
+use bytes::{Buf, BytesMut};
+
+/// A frame's length counts its type and stream, and all of a payload.
+const LENGTHS: std::ops::RangeInclusive<usize> = 5..=262_144;
+const HEAD: usize = 4;
+
+const REQUEST: u8 = 7;
+const ANSWER: u8 = 8;
+const FORGET: u8 = 9;
+const READY: u8 = 1;
+const READY_ANSWER: u8 = 2;
+const LEAVING: u8 = 3;
+
+const SERVED: u8 = 20;
+const REFUSED: u8 = 50;
+const FAILED: u8 = 51;
+
+/// What a client sends.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ClientMessage {
+    /// A request on a stream.
+    Request {
+        /// New on its connection.
+        stream: u32,
+        /// What is asked.
+        ask: Box<Ask>,
+    },
+    /// Nobody waits for this stream any more.
+    Forget {
+        /// As named in the request.
+        stream: u32,
+    },
+    /// Is the doorman ready?
+    Ready {
+        /// To be used in the answer.
+        stream: u32,
+    },
+}
+
+/// Takes one message off the front of `bytes`, or leaves them as they are if it is not whole yet.
+pub fn decode(bytes: &mut BytesMut) -> Result<Option<ClientMessage>, Malformed> {
+    let Some(head) = bytes.first_chunk::<HEAD>() else { return Ok(None) };
+    let length = u32::from_be_bytes(*head) as usize;
+    // Judged before the rest is awaited: a mad length must not make us gather bytes for it.
+    if !LENGTHS.contains(&length) {
+        return Err(Malformed("frame length out of range"));
+    }
+    if bytes.len() < HEAD + length {
+        return Ok(None);
+    }
+    let mut frame = bytes.split_to(HEAD + length);
+    frame.advance(HEAD);
+    let (kind, stream) = (frame.get_u8(), frame.get_u32());
+    Ok(Some(match kind {
+        REQUEST if stream == 0 => return Err(Malformed("request on stream 0")),
+        REQUEST => ClientMessage::Request { stream, ask: Box::new(request(&frame)?) },
+        FORGET => ClientMessage::Forget { stream },
+        READY => ClientMessage::Ready { stream },
+        _ => return Err(Malformed("unknown frame type")),
+    }))
+}
+
+fn request(payload: &[u8]) -> Result<Ask, Malformed> {
+    let mut rest = payload;
+    let count = take(&mut rest, 1)?[0];
+    let mut ask = Ask::default();
+    let mut seen = Vec::new();
+    for _ in 0..count {
+        let size = take(&mut rest, 1)?[0];
+        let name = text(take(&mut rest, usize::from(size))?)?;
+        let size = u16::from_be_bytes([take(&mut rest, 1)?[0], take(&mut rest, 1)?[0]]);
+        let value = text(take(&mut rest, usize::from(size))?)?;
+        if seen.contains(&name) {
+            return Err(Malformed("field given twice"));
+        }
+        seen.push(name);
+        field(&mut ask, name, value)?;
+    }
+    for needed in ["route", "trace", "patience", "entity"] {
+        if !seen.contains(&needed) {
+            return Err(Malformed("field missing"));
+        }
+    }
+    ask.body = rest.to_vec();
+    Ok(ask)
+}
+
+fn take<'a>(rest: &mut &'a [u8], count: usize) -> Result<&'a [u8], Malformed> {
+    let (taken, left) = rest.split_at_checked(count).ok_or(Malformed("fields overrun the frame"))?;
+    *rest = left;
+    Ok(taken)
+}
+
+fn text(bytes: &[u8]) -> Result<&str, Malformed> {
+    std::str::from_utf8(bytes).map_err(|_| Malformed("field is not text"))
+}
+
+fn field(ask: &mut Ask, name: &str, value: &str) -> Result<(), Malformed> {
+    match name {
+        "route" => ask.route = value.to_owned(),
+        "trace" => {
+            hex(value)?;
+            ask.trace = value.to_owned();
+        }
+        "patience" => ask.patience_ms = number(value)?,
+        "nonce" => ask.nonce = Some(word(value)?),
+        "entity" => ask.entity = (value.to_owned(), hex(value)?),
+        "nth" => ask.nth = number(value)?,
+        "batch" => ask.batch = u64::from(value.parse::<u8>().map_err(|_| Malformed("bad batch"))?),
+        "size" => {
+            let size = value.parse().map_err(|_| Malformed("bad size"))?;
+            ask.size_kb =
+                Some(size).filter(|s: &f64| s.is_finite() && *s >= 0.0).ok_or(Malformed("bad size"))?;
+        }
+        "got" => ask.got = Some(word(value)?),
+        _ => {}
+    }
+    Ok(())
+}
+
+fn number(value: &str) -> Result<u64, Malformed> {
+    value.parse().map_err(|_| Malformed("bad number"))
+}
+
+fn hex(value: &str) -> Result<u64, Malformed> {
+    let digits = value.len() == 16 && value.bytes().all(|b| b.is_ascii_hexdigit());
+    u64::from_str_radix(value, 16).ok().filter(|_| digits).ok_or(Malformed("not 16 hex digits"))
+}
+
+/// A text that goes on into a depot's list of fields: what divides that list must not be in it.
+fn word(value: &str) -> Result<String, Malformed> {
+    let plain = !value.is_empty() && value.bytes().all(|b| b.is_ascii_graphic() && b != b',' && b != b'=');
+    if plain {
+        Ok(value.to_owned())
+    } else {
+        Err(Malformed("field not fit to pass on"))
+    }
+}
+
+fn frame(kind: u8, stream: u32, code: &[u8], fields: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    let mut out = Vec::with_capacity(64 + body.len());
+    out.extend([0; HEAD]);
+    out.push(kind);
+    out.extend(stream.to_be_bytes());
+    out.extend(code);
+    if !code.is_empty() {
+        out.push(fields.len() as u8);
+    }
+    for (name, value) in fields {
+        out.push(name.len() as u8);
+        out.extend(name.as_bytes());
+        out.extend((value.len() as u16).to_be_bytes());
+        out.extend(value.as_bytes());
+    }
+    out.extend(body);
+    let length = ((out.len() - HEAD) as u32).to_be_bytes();
+    out[..HEAD].copy_from_slice(&length);
+    out
+}
+
+/// The answer to a request.
+pub fn answer(stream: u32, reply: &Reply) -> Vec<u8> {
+    match reply {
+        Reply::Served(body) => frame(ANSWER, stream, &[SERVED], &[], body),
+        Reply::StillGood => frame(ANSWER, stream, &[SERVED], &[("ok304", "1")], &[]),
+        Reply::Refused { pause_ms: 0 } => frame(ANSWER, stream, &[REFUSED], &[], &[]),
+        Reply::Refused { pause_ms } => {
+            frame(ANSWER, stream, &[REFUSED], &[("pause", &pause_ms.to_string())], &[])
+        }
+        Reply::Failed => frame(ANSWER, stream, &[FAILED], &[], &[]),
+    }
+}
+
+/// Tells of an error that belongs to no request.
+pub fn error(why: &Malformed) -> Vec<u8> {
+    frame(ANSWER, 0, &[FAILED], &[], why.0.as_bytes())
+}
+
+/// The answer to [`ClientMessage::Ready`].
+pub fn ready(stream: u32, yes: bool) -> Vec<u8> {
+    frame(READY_ANSWER, stream, &[if yes { SERVED } else { REFUSED }], &[], &[])
+}
+
+/// No new request on this connection.
+pub fn leaving() -> Vec<u8> {
+    frame(LEAVING, 0, &[], &[], &[])
+}
--- /dev/null
+++ b/src/net/proto/mod.rs
@@ -0,0 +1,61 @@
+//! The codecs: bytes in, messages out. None of them knows of sockets, clocks or what a message leads to.
+//!
+//! What a client asks for is an [`Ask`], whatever protocol it came by; a second protocol for clients would
+//! bring a codec of its own and hand over the same.
+
+pub mod command_channel;
+pub mod frames;
+pub mod resp;
+
+/// One request as a client made it. Texts that are passed on unchanged are kept as they came.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Ask {
+    /// Names this try of the request.
+    pub trace: String,
+    /// The class, by name.
+    pub route: String,
+    /// How long the client waits, in milliseconds.
+    pub patience_ms: u64,
+    /// The idempotency key, if any.
+    pub nonce: Option<String>,
+    /// The object as text, and as the number that the text stands for.
+    pub entity: (String, u64),
+    /// Which part of the object.
+    pub nth: u64,
+    /// The purge group.
+    pub batch: u64,
+    /// Size of the part in KB.
+    pub size_kb: f64,
+    /// The tag of the copy that the client holds.
+    pub got: Option<String>,
+    /// What is to be written.
+    pub body: Vec<u8>,
+}
+
+/// How a request ended, as its client is told.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    /// The bytes asked for.
+    Served(Vec<u8>),
+    /// The copy that the client holds is the one.
+    StillGood,
+    /// Not done; trying again does no harm after so many milliseconds.
+    Refused {
+        /// 0: no advice.
+        pause_ms: u64,
+    },
+    /// Failed; it may have run.
+    Failed,
+}
+
+/// Why bytes could not be read as a message; ends the connection they came on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Malformed(pub &'static str);
+
+impl std::fmt::Display for Malformed {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(self.0)
+    }
+}
+
+impl std::error::Error for Malformed {}
--- /dev/null
+++ b/src/net/proto/resp.rs
@@ -0,0 +1,186 @@
+//! The depots' protocol: RESP arrays of bulk strings.
+
+use super::{Ask, Malformed};
+use crate::interface::Fetch;
+use bytes::{Buf, BytesMut};
+
+/// Longest head line of an array or a string: a mark, the digits and the line's end.
+const HEAD_LINE: usize = 16;
+/// Most bytes of each of an answer's words: id, word, fields, body.
+const MOST: [usize; 4] = [64, 32, 8192, 262_144];
+
+/// What a depot says of one request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Answer {
+    /// The request.
+    pub id: String,
+    /// How it ended.
+    pub word: Word,
+    /// Names and values.
+    pub fields: Vec<(String, String)>,
+    /// The bytes asked for.
+    pub body: Vec<u8>,
+}
+
+/// The kinds of answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Word {
+    /// The bytes.
+    Ok,
+    /// The client's copy is the one.
+    Current,
+    /// Miss; it never ran.
+    Nothing,
+    /// Full; it never ran.
+    Refused,
+    /// Error; it may have run.
+    Error,
+    /// Over already; it never ran.
+    Stale,
+}
+
+impl Answer {
+    /// The value of a field.
+    pub fn field(&self, name: &str) -> Option<&str> {
+        self.fields.iter().find(|f| f.0 == name).map(|f| f.1.as_str())
+    }
+}
+
+/// Takes one answer off the front of `bytes`, or leaves them as they are if it is not whole yet.
+pub fn decode(bytes: &mut BytesMut) -> Result<Option<Answer>, Malformed> {
+    let mut at = 0;
+    let Some(count) = head(bytes, &mut at, b'*')? else { return Ok(None) };
+    if count != MOST.len() {
+        return Err(Malformed("an answer has four words"));
+    }
+    let mut spans = [(0, 0); MOST.len()];
+    for (span, most) in spans.iter_mut().zip(MOST) {
+        let Some(length) = head(bytes, &mut at, b'$')? else { return Ok(None) };
+        // Judged before the rest is awaited: a mad length must not make us gather bytes for it.
+        if length > most {
+            return Err(Malformed("word too long"));
+        }
+        *span = (at, at + length);
+        at += length + 2;
+        if bytes.len() < at {
+            return Ok(None);
+        }
+        if &bytes[at - 2..at] != b"\r\n" {
+            return Err(Malformed("word without its end"));
+        }
+    }
+    let words = spans.map(|(from, to)| &bytes[from..to]);
+    let answer = Answer {
+        id: text(words[0])?.to_owned(),
+        word: word(text(words[1])?)?,
+        fields: fields(text(words[2])?)?,
+        body: words[3].to_vec(),
+    };
+    bytes.advance(at);
+    Ok(Some(answer))
+}
+
+/// The number in a head line at `at`, which moves past it.
+fn head(bytes: &[u8], at: &mut usize, mark: u8) -> Result<Option<usize>, Malformed> {
+    let rest = &bytes[*at..];
+    if rest.first().is_some_and(|&b| b != mark) {
+        return Err(Malformed("not an array of strings"));
+    }
+    let Some(end) = rest.iter().take(HEAD_LINE).position(|&b| b == b'\n') else {
+        return if rest.len() < HEAD_LINE { Ok(None) } else { Err(Malformed("endless head line")) };
+    };
+    let digits =
+        rest[..end].strip_suffix(b"\r").and_then(|l| l.get(1..)).ok_or(Malformed("bad head line"))?;
+    if digits.is_empty() || !digits.iter().all(u8::is_ascii_digit) {
+        return Err(Malformed("bad head line"));
+    }
+    *at += end + 1;
+    text(digits)?.parse().map(Some).map_err(|_| Malformed("bad head line"))
+}
+
+fn text(bytes: &[u8]) -> Result<&str, Malformed> {
+    std::str::from_utf8(bytes).map_err(|_| Malformed("word is not text"))
+}
+
+fn word(text: &str) -> Result<Word, Malformed> {
+    Ok(match text {
+        "ok" => Word::Ok,
+        "current" => Word::Current,
+        "nothing" => Word::Nothing,
+        "refused" => Word::Refused,
+        "error" => Word::Error,
+        "stale" => Word::Stale,
+        _ => return Err(Malformed("unknown answer")),
+    })
+}
+
+fn fields(text: &str) -> Result<Vec<(String, String)>, Malformed> {
+    if text == "-" || text.is_empty() {
+        return Ok(Vec::new());
+    }
+    let pair = |p: &str| {
+        let (name, value) = p.split_once('=').ok_or(Malformed("field without a value"))?;
+        Ok((name.to_owned(), value.to_owned()))
+    };
+    text.split(',').map(pair).collect()
+}
+
+fn command(words: &[&[u8]]) -> Vec<u8> {
+    let mut out = format!("*{}\r\n", words.len()).into_bytes();
+    for word in words {
+        out.extend(format!("${}\r\n", word.len()).as_bytes());
+        out.extend(*word);
+        out.extend(b"\r\n");
+    }
+    out
+}
+
+/// Whole milliseconds of an accepted age.
+/// Guards against widening what the module accepts: a positive age is rounded down, but never to 0, which
+/// would mean the class's default.
+pub fn fresh_ms(max_age_us: u64) -> u64 {
+    if max_age_us == 0 {
+        0
+    } else {
+        (max_age_us / 1000).max(1)
+    }
+}
+
+/// Asks `depot` for what the client asked, to be given up after `wait_us`.
+pub fn want(ask: &Ask, depot: &str, fetch: Option<&Fetch>, wait_us: u64) -> Vec<u8> {
+    let mut fields =
+        format!("c={},k={},p={},w={}", ask.route, ask.entity.0, ask.nth, (wait_us / 1000).max(1));
+    let mut add = |name: &str, value: &str| {
+        for piece in [",", name, "=", value] {
+            fields.push_str(piece);
+        }
+    };
+    if let Some(nonce) = &ask.nonce {
+        add("i", nonce);
+    }
+    if let Some(fetch) = fetch {
+        if *fetch.source != *depot {
+            add("via", &fetch.source);
+        }
+        if fetch.keep > 0 {
+            add("tier", &fetch.keep.to_string());
+        }
+        if fetch.max_age > 0 {
+            add("fresh", &fresh_ms(fetch.max_age).to_string());
+        }
+        let opts = [(fetch.join, "j"), (fetch.held_only, "h"), (fetch.renew, "r")];
+        let set: Vec<&str> = opts.iter().filter(|o| o.0).map(|o| o.1).collect();
+        if !set.is_empty() {
+            add("opts", &set.join("+"));
+        }
+    }
+    if let Some(tag) = &ask.got {
+        add("known", tag);
+    }
+    command(&[b"want", ask.trace.as_bytes(), fields.as_bytes(), &ask.body])
+}
+
+/// Gives a request up.
+pub fn never_mind(id: &str) -> Vec<u8> {
+    command(&[b"never_mind", id.as_bytes()])
+}
