--- a/src/net/clock.rs
+++ b/src/net/clock.rs
@@ -25,6 +25,12 @@
         AT_START + self.start.elapsed().as_micros() as Time
     }
 
+    /// Lets time pass, so that tests of time need not wait.
+    #[cfg(test)]
+    pub fn skip(&mut self, span: Time) {
+        self.start -= std::time::Duration::from_micros(span);
+    }
+
     /// The moment of a Unix millisecond; 0, which means long ago, for 0 and for what is too long ago to tell.
     pub fn of_unix_ms(&self, ms: u64) -> Time {
         ms.saturating_mul(1000).saturating_add(AT_START).saturating_sub(self.unix_at_start)
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -148,6 +148,11 @@
         (self.queued - self.written) as usize
     }
 
+    /// Bytes held for this connection, read or to be written.
+    pub fn held(&self) -> usize {
+        self.backlog() + self.inbox.len()
+    }
+
     /// Stops reading, so that a peer that does not read can't make us gather answers for it; or goes on.
     pub fn pause(&mut self, paused: bool) {
         self.paused = paused;
--- a/src/net/doorman.rs
+++ b/src/net/doorman.rs
@@ -2,6 +2,9 @@
 //!
 //! It owns the open requests and their attempts. Everything is done within one turn of one loop on one thread.
 
+#[cfg(test)]
+mod tests;
+
 use super::clock::Clock;
 use super::config::Config;
 use super::connection::{Callbacks, Closed, Connection, State};
@@ -43,8 +46,8 @@
 /// Bytes that may wait for a client before no more is read from it, and below which reading goes on.
 const HIGH_WATER: usize = 1 << 20;
 const LOW_WATER: usize = 1 << 18;
-/// Bytes that may wait for all clients together; beyond, the one with most is let go.
-const ALL_WAITING: usize = 48 << 20;
+/// Bytes that may be held for all client connections together; beyond, the one with most is let go.
+const ALL_HELD: usize = 48 << 20;
 /// Bytes of bodies to be written that open requests may hold together; beyond, requests are refused.
 const ALL_BODIES: usize = 24 << 20;
 /// A client that takes none of what waits for it for so long is let go.
@@ -52,7 +55,7 @@
 /// A client connection with no open request is closed after so long; clients close theirs sooner.
 const CLIENT_IDLE: Time = 30_000 * MS;
 /// Most connections to one depot, and part of the descriptors that all of them may take.
-const MOST_EACH: usize = 8;
+const MOST_EACH: usize = 16;
 const UPSTREAM_PART: usize = 3;
 /// Connections taken in one turn, and the pause after an accept that failed for want of descriptors.
 const ACCEPTS: usize = 64;
@@ -63,6 +66,8 @@
 /// After SIGTERM: the longest deadline, counted as 3 s where it is longer, and 0.7 s more is the soonest end.
 const LONGEST_DRAIN: Time = 3_000 * MS;
 const DRAIN_SPARE: Time = 400 * MS;
+/// What the last answers of a drain have to reach their clients.
+const DRAIN_FLUSH: Time = 200 * MS;
 /// Purges are remembered for as long as an attempt can wait to be written, and longer.
 const PURGES_KEPT: Time = 5_000 * MS;
 
@@ -117,6 +122,15 @@
     end: Option<u64>,
 }
 
+/// The way out after SIGTERM.
+#[derive(Clone, Copy, Debug)]
+struct Drain {
+    /// Until then everything goes on as before.
+    linger: Time,
+    /// When the process ends at the latest.
+    stop: Time,
+}
+
 /// What is counted, for the log.
 #[derive(Debug, Default)]
 struct Figures {
@@ -190,10 +204,14 @@
     purges: VecDeque<(Time, Purge)>,
     events: VecDeque<Event>,
     actions: Vec<Action>,
+    ready: Vec<Ready>,
     /// Connections with more to read than one turn took.
     again: Vec<Token>,
-    draining_since: Option<Time>,
+    draining: Option<Drain>,
     figures: Figures,
+    /// All that the module has heard.
+    #[cfg(test)]
+    told: Vec<Event>,
 }
 
 impl Doorman {
@@ -220,9 +238,12 @@
             purges: VecDeque::new(),
             events: VecDeque::new(),
             actions: Vec::new(),
+            ready: Vec::new(),
             again: Vec::new(),
-            draining_since: None,
+            draining: None,
             figures: Figures::default(),
+            #[cfg(test)]
+            told: Vec::new(),
             settings: config.settings,
         };
         for command in config.known {
@@ -237,26 +258,33 @@
 
     /// Runs until told to end and everything taken is answered.
     pub fn run(mut self) -> io::Result<()> {
-        let mut ready = Vec::new();
         while !self.is_over() {
-            let until = self.timers.next().unwrap_or(self.now + SWEEP).saturating_sub(self.clock.now());
-            let wait = if self.again.is_empty() { until } else { 0 };
-            self.event_loop.wait(Some(Duration::from_micros(wait)), &mut ready)?;
-            self.now = self.clock.now();
-            for token in std::mem::take(&mut self.again) {
-                self.ready(Ready { token, readable: false, writable: false });
-            }
-            for event in ready.drain(..) {
-                self.ready(event);
-            }
-            while let Some((at, due)) = self.timers.due(self.now) {
-                self.figures.latest_timer = self.figures.latest_timer.max(self.now - at);
-                self.due(due);
-                self.settle();
-            }
+            self.turn()?;
         }
         self.report();
-        info!(self.log, "all answered, leaving");
+        info!(self.log, "leaving"; "unanswered" => self.requests.values().filter(|o| !o.done).count());
+        Ok(())
+    }
+
+    /// One turn: waits for something to happen and takes it, then the timers that are due.
+    fn turn(&mut self) -> io::Result<()> {
+        let until = self.timers.next().unwrap_or(self.now + SWEEP).saturating_sub(self.clock.now());
+        let wait = if self.again.is_empty() { until } else { 0 };
+        let mut ready = std::mem::take(&mut self.ready);
+        self.event_loop.wait(Duration::from_micros(wait), &mut ready)?;
+        self.now = self.clock.now();
+        for token in std::mem::take(&mut self.again) {
+            self.ready(Ready { token, readable: false, writable: false });
+        }
+        for event in ready.drain(..) {
+            self.ready(event);
+        }
+        self.ready = ready;
+        while let Some((at, due)) = self.timers.due(self.now) {
+            self.figures.latest_timer = self.figures.latest_timer.max(self.now - at);
+            self.due(due);
+            self.settle();
+        }
         Ok(())
     }
 
@@ -301,6 +329,8 @@
     /// Hands the events to the module and carries out what it wants, until neither is left.
     fn settle(&mut self) {
         while let Some(event) = self.events.pop_front() {
+            #[cfg(test)]
+            self.told.push(event.clone());
             let mut actions = std::mem::take(&mut self.actions);
             self.router.handle(self.now, event, &mut actions);
             for action in actions.drain(..) {
@@ -384,7 +414,7 @@
     }
 
     fn client_message(&mut self, token: Token, message: ClientMessage) -> Result<(), Malformed> {
-        let draining = self.draining_since.is_some();
+        let draining = self.draining.is_some();
         let Some(client) = self.clients.get_mut(&token) else { return Ok(()) };
         match message {
             ClientMessage::Ready { stream } => client.conn.queue(frames::ready(stream, !draining)),
@@ -546,6 +576,12 @@
     // ---- attempts ----
 
     fn send(&mut self, id: Id, depot: Id, until: Time, fetch: Option<Fetch>) {
+        if self.pool.is_full() {
+            // Guards against idle connections to some depots keeping others from being reached.
+            if let Some(&idle) = self.pool.idle(self.now, 0).first() {
+                self.lose_link(idle);
+            }
+        }
         let Some(open) = self.requests.get_mut(&id) else { return };
         let number = open.attempts;
         open.attempts += 1;
@@ -903,9 +939,9 @@
             stalled || (idle && now.saturating_sub(c.used) >= CLIENT_IDLE)
         };
         let mut ended: Vec<Token> = self.clients.iter().filter(|c| over(c.1)).map(|c| *c.0).collect();
-        let waiting: usize = self.clients.values().map(|c| c.conn.backlog()).sum();
-        if waiting > ALL_WAITING {
-            let most = self.clients.iter().max_by_key(|c| c.1.conn.backlog());
+        let held: usize = self.clients.values().map(|c| c.conn.held()).sum();
+        if held > ALL_HELD {
+            let most = self.clients.iter().max_by_key(|c| c.1.conn.held());
             ended.extend(most.map(|c| *c.0));
         }
         for token in ended {
@@ -923,11 +959,14 @@
     // ---- the end ----
 
     fn drain(&mut self) {
-        if self.draining_since.is_some() {
+        if self.draining.is_some() {
             return;
         }
         info!(self.log, "told to end, draining"; "open" => self.requests.len());
-        self.draining_since = Some(self.now);
+        let longest = self.settings.classes.iter().map(|c| c.deadline_us).max().unwrap_or(LONGEST_DRAIN);
+        let last_answers = self.now + longest.min(LONGEST_DRAIN) + DRAIN_SPARE;
+        self.timers.set(last_answers, Due::DrainEnd);
+        self.draining = Some(Drain { linger: self.now + LINGER, stop: last_answers + DRAIN_FLUSH });
         let tokens: Vec<Token> = self.clients.keys().copied().collect();
         for token in tokens {
             if let Some(client) = self.clients.get_mut(&token) {
@@ -937,8 +976,6 @@
             }
             self.client_written(token);
         }
-        let longest = self.settings.classes.iter().map(|c| c.deadline_us).max().unwrap_or(LONGEST_DRAIN);
-        self.timers.set(self.now + longest.min(LONGEST_DRAIN) + DRAIN_SPARE, Due::DrainEnd);
     }
 
     /// The process may be killed any moment now: what is still open is answered while it can be.
@@ -951,11 +988,11 @@
     }
 
     fn is_over(&self) -> bool {
-        let Some(since) = self.draining_since else { return false };
-        self.now >= since + LINGER
-            && self.requests.values().all(|o| o.done)
+        let Some(drain) = self.draining else { return false };
+        let answered = self.requests.values().all(|o| o.done)
             && self.clients.values().all(|c| c.conn.backlog() == 0)
-            && self.again.is_empty()
+            && self.again.is_empty();
+        self.now >= drain.stop || (self.now >= drain.linger && answered)
     }
 }
 
--- /dev/null
+++ b/src/net/doorman/tests.rs
@@ -0,0 +1,580 @@
+//! The doorman on real sockets, with depots, clients and a command channel played by the test. Nothing here
+//! rests on timing: the doorman is turned until what is awaited has come, and time is skipped, not waited for.
+
+use super::*;
+use bytes::{BufMut, BytesMut};
+use std::io::{Read, Write};
+use std::net::{TcpListener as StdListener, TcpStream as StdStream};
+
+/// More turns than anything takes, however slow the machine; a turn with nothing to do lasts `PACE`.
+const TURNS: usize = 4_000;
+const PACE: Time = 5 * MS;
+const CACHE: &str = "s-00000001";
+const ORIGIN: &str = "s-00000002";
+
+struct World {
+    doorman: Doorman,
+    cache: StdListener,
+    origin: StdListener,
+    channel: StdListener,
+}
+
+/// One end of a connection that the test holds.
+struct Peer {
+    stream: StdStream,
+    got: BytesMut,
+    ended: bool,
+}
+
+impl Peer {
+    fn new(stream: StdStream) -> Self {
+        stream.set_nonblocking(true).unwrap();
+        Peer { stream, got: BytesMut::new(), ended: false }
+    }
+
+    fn pull(&mut self) {
+        let mut chunk = [0; 65536];
+        loop {
+            match self.stream.read(&mut chunk) {
+                Ok(0) => return self.ended = true,
+                Ok(n) => self.got.put_slice(&chunk[..n]),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(_) => return self.ended = true,
+            }
+        }
+    }
+
+    fn put(&mut self, bytes: &[u8]) {
+        self.stream.write_all(bytes).unwrap();
+    }
+}
+
+fn settings() -> serde_json::Value {
+    let class = |name: &str, semantics: &str| {
+        serde_json::json!({"name": name, "promise-us": 400000, "deadline-us": 6000000,
+                           "semantics": semantics, "dedup-scope": "all", "window-us": 6000000})
+    };
+    serde_json::json!({
+        "balancers": 1, "zone": 0, "discovery": "push", "weight-source": "rough",
+        "classes": [class("clip", "idempotent"), class("page", "idempotent"), class("edit", "deduplicated")],
+        "failure-domains": ["east"], "kinds": ["box", "hub", "archive"],
+        "domain": {"detail": "hit", "direct": true, "flow-kb-per-s": 8500.0, "crew-by-zone": [1],
+                   "max-age-us": [0, 12000000, 0], "stale-for-us": [0, 10000000, 0],
+                   "pass-on": [false, false, true], "purge-done-us": 6000000,
+                   "source-kind": 2, "upper-kind": 1, "parent-breaks-at": 2.0,
+                   "parent-cold-from": 0.1, "parent-ramp-us": 20000000},
+        "limits": {"conn-idle-us": 15000000, "dial-timeout-us": 400000, "max-attempts": 6,
+                   "max-open": 20000, "may-cancel": true, "multiplex": 32, "retry-after": true,
+                   "max-retry-after-us": 2000000},
+        "rules": {"fall-us": 1000000, "start-capacity": 0.2, "tip-multiple": 3.0, "warm-within-us": 15000000},
+    })
+}
+
+impl World {
+    fn new() -> Self {
+        let bind = || StdListener::bind("127.0.0.1:0").unwrap();
+        let (cache, origin, channel) = (bind(), bind(), bind());
+        let entry = |id: &str, listener: &StdListener, kind: &str| {
+            serde_json::json!({"instanceId": id, "hostPort": listener.local_addr().unwrap().to_string(),
+                "zone": "east", "machineType": kind, "cell": 0, "lifecycle": "SERVING", "weight": 30,
+                "startedAtMs": 0})
+        };
+        let nodes = serde_json::json!({"generation": 1, "reset": true,
+            "instances": [entry(CACHE, &cache, "box"), entry(ORIGIN, &origin, "archive")]});
+        let config = serde_json::json!({
+            "name": "t", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "channel": channel.local_addr().unwrap().to_string(),
+            "known": {"cursor": 41, "cmds": [{"cursor": 41, "nodes": nodes}]}, "settings": settings()});
+        let config = Config::parse(&config.to_string(), "test".into()).unwrap();
+        let log = Logger::root(slog::Discard, slog::o!());
+        let doorman = Doorman::start(config, Clock::start(), log).unwrap();
+        for listener in [&cache, &origin, &channel] {
+            listener.set_nonblocking(true).unwrap();
+        }
+        World { doorman, cache, origin, channel }
+    }
+
+    /// Turns the doorman until something has come.
+    fn until<T>(&mut self, what: &str, mut come: impl FnMut(&mut Doorman) -> Option<T>) -> T {
+        for _ in 0..TURNS {
+            if let Some(come) = come(&mut self.doorman) {
+                return come;
+            }
+            self.doorman.timers.set(self.doorman.now + PACE, Due::Accept);
+            self.doorman.turn().unwrap();
+        }
+        panic!("never came: {what}");
+    }
+
+    fn skip(&mut self, span: Time) {
+        self.doorman.clock.skip(span);
+        self.doorman.turn().unwrap();
+    }
+
+    fn client(&mut self) -> Peer {
+        let address = self.doorman.listener.1.local_addr().unwrap();
+        Peer::new(StdStream::connect(address).unwrap())
+    }
+
+    fn accept(&mut self, which: fn(&World) -> &StdListener) -> Peer {
+        let listener = which(self).try_clone().unwrap();
+        let stream = self.until("a connection of the doorman's", |_| listener.accept().ok());
+        Peer::new(stream.0)
+    }
+
+    fn cache(&mut self) -> Peer {
+        self.accept(|w| &w.cache)
+    }
+
+    fn message<M>(&mut self, peer: &mut Peer, decode: impl Fn(&mut BytesMut) -> Option<M>) -> M {
+        self.until("a message", |_| {
+            peer.pull();
+            decode(&mut peer.got)
+        })
+    }
+
+    /// The words of the next command.
+    fn command(&mut self, peer: &mut Peer) -> Vec<String> {
+        self.message(peer, command)
+    }
+
+    /// Type, stream and payload of the next frame.
+    fn frame(&mut self, peer: &mut Peer) -> (u8, u32, Vec<u8>) {
+        self.message(peer, |bytes| {
+            let length = u32::from_be_bytes(*bytes.first_chunk()?) as usize;
+            if bytes.len() < 4 + length {
+                return None;
+            }
+            let frame = bytes.split_to(4 + length);
+            Some((frame[4], u32::from_be_bytes(frame[5..9].try_into().ok()?), frame[9..].to_vec()))
+        })
+    }
+
+    fn ended(&mut self, peer: &mut Peer) {
+        self.until("the end of a connection", |_| {
+            peer.pull();
+            peer.ended.then_some(())
+        });
+    }
+
+    /// Turns the doorman some more, then checks that nothing has come.
+    fn silent(&mut self, peer: &mut Peer) {
+        for _ in 0..3 {
+            self.doorman.timers.set(self.doorman.now + PACE, Due::Accept);
+            self.doorman.turn().unwrap();
+        }
+        peer.pull();
+        assert!(peer.got.is_empty(), "{:?}", peer.got);
+    }
+
+    /// Codes of the outcomes that the module has heard.
+    fn codes(&self) -> Vec<(Code, bool)> {
+        let code = |e: &Event| match e {
+            Event::Outcome(o) => Some((o.code, o.last)),
+            _ => None,
+        };
+        self.doorman.told.iter().filter_map(code).collect()
+    }
+
+    /// A client whose request has come to the cache.
+    fn asked(&mut self) -> (Peer, Peer, Vec<String>) {
+        let mut client = self.client();
+        client.put(&request(1, 1, "clip"));
+        let mut cache = self.cache();
+        let want = self.command(&mut cache);
+        (client, cache, want)
+    }
+}
+
+fn command(bytes: &mut BytesMut) -> Option<Vec<String>> {
+    let text = String::from_utf8(bytes.to_vec()).unwrap();
+    let (head, mut rest) = text.split_once("\r\n")?;
+    let mut words = Vec::new();
+    for _ in 0..head.strip_prefix('*')?.parse::<usize>().unwrap() {
+        let (length, after) = rest.split_once("\r\n")?;
+        let length: usize = length.strip_prefix('$')?.parse().unwrap();
+        words.push(after.get(..length)?.to_owned());
+        rest = after.get(length + 2..)?;
+    }
+    let _ = bytes.split_to(text.len() - rest.len());
+    Some(words)
+}
+
+fn fields(list: &[(&str, &str)]) -> Vec<u8> {
+    let mut out = vec![list.len() as u8];
+    for (name, value) in list {
+        out.push(name.len() as u8);
+        out.extend(name.as_bytes());
+        out.extend((value.len() as u16).to_be_bytes());
+        out.extend(value.as_bytes());
+    }
+    out
+}
+
+fn frame(kind: u8, stream: u32, payload: &[u8]) -> Vec<u8> {
+    let mut out = (payload.len() as u32 + 5).to_be_bytes().to_vec();
+    out.push(kind);
+    out.extend(stream.to_be_bytes());
+    out.extend(payload);
+    out
+}
+
+fn trace(number: u32) -> String {
+    format!("{number:016x}")
+}
+
+fn request(stream: u32, number: u32, route: &str) -> Vec<u8> {
+    request_with(stream, number, route, &[])
+}
+
+fn request_with(stream: u32, number: u32, route: &str, more: &[(&str, &str)]) -> Vec<u8> {
+    let trace = trace(number);
+    let mut list = vec![("route", route), ("trace", &trace), ("patience", "1500"), ("batch", "17")];
+    list.extend([("entity", "7f3a9c21e0b4d655"), ("nth", "3"), ("size", "412.5")]);
+    list.extend(more);
+    let mut payload = fields(&list);
+    if route == "edit" {
+        payload.extend(b"the edit");
+    }
+    frame(7, stream, &payload)
+}
+
+fn answer(id: &str, word: &str, fields: &str, body: &str) -> Vec<u8> {
+    let words = [id, word, fields, body].map(|w| format!("${}\r\n{w}\r\n", w.len()));
+    format!("*4\r\n{}", words.concat()).into_bytes()
+}
+
+fn has(want: &[String], field: &str) -> bool {
+    want[2].split(',').any(|f| f == field)
+}
+
+#[test]
+fn a_request_goes_to_the_cache_and_its_bytes_come_back_unchanged() {
+    let mut w = World::new();
+    let (mut client, mut cache, want) = w.asked();
+    assert_eq!((&want[0][..], &want[1][..], &want[3][..]), ("want", &trace(1)[..], ""));
+    for field in ["c=clip", "k=7f3a9c21e0b4d655", "p=3", "via=s-00000002", "tier=1"] {
+        assert!(has(&want, field), "{field} in {}", want[2]);
+    }
+    cache.put(&answer(&trace(1), "ok", "tag=4be0c1927d55a6f3,minted=1764576000123,note=filled", "bytes"));
+    assert_eq!(w.frame(&mut client), (8, 1, b"\x14\x00bytes".to_vec()));
+    assert_eq!(w.codes(), [(Code::Served, true)]);
+    assert!(w.doorman.requests.is_empty() && w.doorman.bodies == 0);
+}
+
+#[test]
+fn the_key_and_the_body_of_an_edit_reach_the_origin_unchanged() {
+    let mut w = World::new();
+    let mut client = w.client();
+    client.put(&request_with(1, 1, "edit", &[("nonce", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211")]));
+    let mut origin = w.accept(|w| &w.origin);
+    let want = w.command(&mut origin);
+    assert!(has(&want, "i=5c0f6e1a2b3d4c59a8b7c6d5e4f30211") && want[3] == "the edit");
+    // Lost after it was wholly written: it may have run, and the module must hear so.
+    drop(origin);
+    let mut origin = w.accept(|w| &w.origin);
+    let again = w.command(&mut origin);
+    assert!(has(&again, "i=5c0f6e1a2b3d4c59a8b7c6d5e4f30211") && again[3] == "the edit");
+    assert_eq!(w.codes(), [(Code::Reset, false)]);
+}
+
+#[test]
+fn a_copy_that_the_client_holds_costs_no_bytes() {
+    let mut w = World::new();
+    let mut client = w.client();
+    client.put(&request_with(1, 1, "page", &[("got", "4be0c1927d55a6f3")]));
+    let mut cache = w.cache();
+    let want = w.command(&mut cache);
+    assert!(has(&want, "known=4be0c1927d55a6f3"), "{}", want[2]);
+    cache.put(&answer(&trace(1), "current", "tag=4be0c1927d55a6f3,minted=1,note=hit", ""));
+    assert_eq!(w.frame(&mut client), (8, 1, b"\x14\x01\x05ok304\x00\x011".to_vec()));
+}
+
+#[test]
+fn a_refused_dial_never_ran_and_a_refusal_says_when_to_come_back() {
+    let mut w = World::new();
+    let nowhere = StdListener::bind("127.0.0.1:0").unwrap();
+    w.cache = nowhere.try_clone().unwrap();
+    let address = nowhere.local_addr().unwrap();
+    w.doorman.pool.list(&CACHE.into(), Depot { address, listed: Listed::Healthy, started: 0 });
+    drop(std::mem::replace(&mut w.cache, StdListener::bind("127.0.0.1:0").unwrap()));
+    drop(nowhere);
+    let mut client = w.client();
+    client.put(&request(1, 1, "clip"));
+    let (kind, stream, payload) = w.frame(&mut client);
+    assert_eq!((kind, stream, payload[0]), (8, 1, 50));
+    assert!(payload[2..].starts_with(b"\x05pause"), "{payload:?}");
+    assert!(w.codes().iter().all(|c| c.0 == Code::ConnectFailed), "{:?}", w.codes());
+    assert!(!w.codes().is_empty());
+}
+
+#[test]
+fn silence_ends_in_one_failure_before_the_clients_patience_does() {
+    let mut w = World::new();
+    let (mut client, mut cache, _) = w.asked();
+    w.skip(1_500 * MS - MARGIN + MS);
+    assert_eq!(w.command(&mut cache), ["never_mind".to_owned(), trace(1)]);
+    assert_eq!(w.frame(&mut client), (8, 1, vec![51, 0]));
+    assert_eq!(w.codes(), [(Code::TimedOut, false)]);
+    // A late answer to what is over is ignored, and so is the guard's own timer.
+    cache.put(&answer(&trace(1), "ok", "-", "late"));
+    w.until("the late answer", |d| (d.figures.late_answers == 1).then_some(()));
+    w.skip(1_000 * MS);
+    w.silent(&mut client);
+    assert_eq!(w.codes().len(), 1);
+}
+
+#[test]
+fn who_left_gets_no_answer_but_the_module_hears_of_it() {
+    let mut w = World::new();
+    let (mut client, mut cache, _) = w.asked();
+    client.put(&frame(9, 1, &[]));
+    assert_eq!(w.command(&mut cache), ["never_mind".to_owned(), trace(1)]);
+    assert_eq!(w.codes(), [(Code::Cancelled, true)]);
+    assert!(w.doorman.told.iter().any(|e| matches!(e, Event::ClientGone { .. })));
+    w.silent(&mut client);
+    assert!(w.doorman.requests.is_empty());
+}
+
+#[test]
+fn a_closed_client_connection_leaves_all_its_requests() {
+    let mut w = World::new();
+    let (client, mut cache, _) = w.asked();
+    drop(client);
+    assert_eq!(w.command(&mut cache)[0], "never_mind");
+    assert!(w.doorman.requests.is_empty() && w.doorman.clients.is_empty());
+}
+
+#[test]
+fn a_given_up_attempt_is_called_off_before_the_next_goes_out_and_over_another_connection() {
+    let mut w = World::new();
+    let (_client, mut first, _) = w.asked();
+    let id: Id = trace(1).as_str().into();
+    w.doorman.give_up(&id, Code::Cancelled);
+    w.doorman.events.clear(); // the test takes the module's part
+                              // Nothing of the next attempt exists yet, and word of the end is out already.
+    first.stream.set_nonblocking(false).unwrap();
+    let mut told = vec![0; resp::never_mind(&id).len()];
+    first.stream.read_exact(&mut told).unwrap();
+    assert_eq!(told, resp::never_mind(&id));
+    first.stream.set_nonblocking(true).unwrap();
+    w.doorman.send(id, CACHE.into(), w.doorman.now + 1_000 * MS, None);
+    let mut second = w.cache();
+    assert_eq!(w.command(&mut second)[0], "want");
+    w.silent(&mut first);
+}
+
+#[test]
+fn what_waits_behind_a_dial_is_not_written_after_a_purge_or_a_drain() {
+    let purge = |d: &mut Doorman| {
+        let what = Purge::Object(0x7f3a9c21e0b4d655);
+        d.command(Command::Purge { what, when_ms: 1 });
+    };
+    let drain = |d: &mut Doorman| {
+        let depot = d.pool.depot(CACHE).unwrap().clone();
+        d.pool.list(&CACHE.into(), Depot { listed: Listed::Draining, ..depot });
+    };
+    for change in [purge as fn(&mut Doorman), drain] {
+        let mut w = World::new();
+        let mut client = w.client();
+        client.put(&request(1, 1, "clip"));
+        w.until("the dial", |d| (d.pool.len() == 1).then_some(()));
+        change(&mut w.doorman);
+        assert_eq!(w.frame(&mut client).2[0], 50);
+        assert_eq!(w.codes(), [(Code::NeverSent, false)]);
+        let mut cache = w.cache();
+        w.silent(&mut cache);
+        assert_eq!(w.doorman.figures.dropped, 1);
+    }
+}
+
+#[test]
+fn a_vanished_machine_loses_its_silent_connections_once_a_dial_fails_too() {
+    let mut w = World::new();
+    let (_client, _cache, _) = w.asked();
+    w.skip(1_100 * MS);
+    // The silent connection is not used again: the next request waits for a dial.
+    let mut other = w.client();
+    other.put(&request(1, 2, "clip"));
+    w.until("a second dial", |d| (d.pool.len() == 2).then_some(()));
+    let dialing = |l: &Link| l.conn.state() == State::Dialing;
+    let token = *w.doorman.pool.links().find(|l| dialing(l.1)).unwrap().0;
+    w.doorman.dial_overdue(token);
+    w.doorman.settle();
+    let codes = w.codes();
+    assert!(codes.contains(&(Code::ConnectFailed, false)) && codes.contains(&(Code::Reset, false)));
+}
+
+#[test]
+fn a_restarted_depot_gets_no_old_connection() {
+    let mut w = World::new();
+    let (mut client, mut old, _) = w.asked();
+    old.put(&answer(&trace(1), "ok", "-", "x"));
+    w.frame(&mut client);
+    let depot = w.doorman.pool.depot(CACHE).unwrap().clone();
+    let record = Record {
+        id: CACHE.to_owned(),
+        address: depot.address,
+        state: command_channel::State::Ready,
+        zone: 0,
+        kind: 0,
+        cell: 0,
+        weight: 30.0,
+        started_ms: 0,
+    };
+    w.doorman.depots(false, vec![record.clone()]);
+    w.doorman.settle();
+    assert_eq!(w.doorman.pool.len(), 1, "the same news again changes nothing");
+    let started = w.doorman.now + MS;
+    for token in w.doorman.pool.list(&CACHE.into(), Depot { started, ..depot }) {
+        w.doorman.lose_link(token);
+    }
+    w.ended(&mut old);
+    client.put(&request(2, 2, "clip"));
+    let mut fresh = w.cache();
+    assert_eq!(w.command(&mut fresh)[0], "want");
+}
+
+#[test]
+fn a_bad_answer_ends_the_attempts_on_its_connection_and_nothing_else() {
+    for bad in [&b"*4\r\n$x\r\n"[..], b"+OK\r\n", b"*4\r\n$999999999\r\n"] {
+        let mut w = World::new();
+        let (_client, mut cache, _) = w.asked();
+        cache.put(bad);
+        w.ended(&mut cache);
+        let mut again = w.cache();
+        assert_eq!(w.command(&mut again)[0], "want");
+        assert_eq!(w.codes(), [(Code::Reset, false)]);
+    }
+}
+
+#[test]
+fn a_client_that_breaks_the_protocol_is_told_and_closed() {
+    let overlong = 262_145u32.to_be_bytes().to_vec();
+    let too_many = |n: u32| (1..=n).flat_map(|s| request(s, s, "clip")).collect::<Vec<u8>>();
+    let reused = [request(1, 1, "clip"), request(1, 2, "clip")].concat();
+    let half = frame(7, 1, &fields(&[("route", "clip")]));
+    let cut = frame(7, 1, b"\x05\x04ro");
+    let nonsense = frame(77, 1, &[]);
+    let unknown = request(1, 1, "no-such-class");
+    let comma = request_with(1, 1, "clip", &[("nonce", "a,via=s-00000009")]);
+    for bytes in [overlong, too_many(33), reused, half, cut, nonsense, unknown, comma] {
+        let mut w = World::new();
+        let mut client = w.client();
+        client.put(&bytes);
+        let told = w.frame(&mut client);
+        assert_eq!((told.0, told.1, told.2[0]), (8, 0, 51));
+        w.ended(&mut client);
+        w.until("the end of its requests", |d| d.requests.is_empty().then_some(()));
+        let mut next = w.client();
+        next.put(&frame(1, 0, &fields(&[])));
+        assert_eq!(w.frame(&mut next), (2, 0, vec![20, 0]));
+    }
+    let mut w = World::new();
+    let mut client = w.client();
+    client.put(&too_many(32));
+    w.until("all 32", |d| (d.requests.len() == 32).then_some(()));
+    assert_eq!(w.doorman.figures.bad_clients, 0);
+}
+
+#[test]
+fn who_does_not_read_is_not_read_from() {
+    let mut w = World::new();
+    let (mut client, mut cache, _) = w.asked();
+    let body = "x".repeat(240_000);
+    // More than all the buffers of the machine's between the two can hold.
+    let mut stream = 1;
+    while !w.doorman.clients.values().any(|c| c.conn.backlog() > HIGH_WATER) {
+        cache.stream.set_nonblocking(false).unwrap();
+        cache.put(&answer(&trace(stream), "ok", "-", &body));
+        cache.stream.set_nonblocking(true).unwrap();
+        w.until("the answer", |d| d.requests.is_empty().then_some(()));
+        stream += 1;
+        client.put(&request(stream, stream, "clip"));
+        if w.doorman.clients.values().any(|c| c.conn.backlog() > HIGH_WATER) {
+            break;
+        }
+        assert_eq!(w.command(&mut cache)[0], "want");
+        assert!(stream < 200);
+    }
+    for _ in 0..3 {
+        w.doorman.turn().unwrap();
+    }
+    assert!(w.doorman.requests.is_empty(), "the next request is left unread");
+    // Once the client reads, all comes, and the request that waited is taken.
+    w.until("the request that waited", |d| {
+        client.pull();
+        client.got.clear();
+        (!d.requests.is_empty()).then_some(())
+    });
+}
+
+#[test]
+fn after_sigterm_all_that_comes_in_time_is_served_and_then_the_program_ends() {
+    let mut w = World::new();
+    let (mut client, mut cache, _) = w.asked();
+    w.doorman.drain();
+    assert_eq!(w.frame(&mut client), (3, 0, vec![]));
+    let mut late = w.client();
+    late.put(&request(1, 2, "clip"));
+    assert_eq!(w.command(&mut cache)[1], trace(2));
+    w.skip(LINGER + MS);
+    assert!(!w.doorman.is_over(), "two answers are owed");
+    for number in [1, 2] {
+        cache.put(&answer(&trace(number), "ok", "-", "x"));
+    }
+    assert_eq!(w.frame(&mut client).2, b"\x14\x00x");
+    assert_eq!(w.frame(&mut late).0, 3);
+    assert_eq!(w.frame(&mut late).2, b"\x14\x00x");
+    assert!(w.doorman.is_over());
+}
+
+#[test]
+fn a_drain_answers_what_no_depot_does_before_it_may_be_killed() {
+    let mut w = World::new();
+    let mut client = w.client();
+    client.put(&request(1, 1, "clip"));
+    w.until("the request", |d| (!d.requests.is_empty()).then_some(()));
+    w.doorman.drain();
+    w.doorman.end_drain();
+    w.doorman.settle();
+    assert_eq!(w.frame(&mut client).0, 3);
+    assert_eq!(w.frame(&mut client), (8, 1, vec![51, 0]));
+}
+
+#[test]
+fn the_command_channel_is_taken_up_where_it_broke_off() {
+    let mut w = World::new();
+    let mut channel = w.accept(|w| &w.channel);
+    let cursor = |b: &mut BytesMut| (b.len() >= 8).then(|| b.split_to(8).to_vec());
+    assert_eq!(w.message(&mut channel, cursor), 41u64.to_be_bytes());
+    let mut event = 25u32.to_be_bytes().to_vec();
+    event.extend(42u64.to_be_bytes());
+    event.push(3);
+    event.extend([0x7f; 8]);
+    event.extend(1u64.to_be_bytes());
+    // A frame may be split anywhere.
+    for byte in event {
+        channel.put(&[byte]);
+        w.doorman.turn().unwrap();
+    }
+    w.until("the purge", |d| (d.purges.len() == 1).then_some(()));
+    drop(channel);
+    let mut channel = w.accept(|w| &w.channel);
+    assert_eq!(w.message(&mut channel, cursor), 42u64.to_be_bytes());
+    // Silence is as good as a break.
+    w.skip(3_000 * MS);
+    let mut channel = w.accept(|w| &w.channel);
+    assert_eq!(w.message(&mut channel, cursor), 42u64.to_be_bytes());
+}
+
+#[test]
+fn more_requests_than_allowed_are_refused_at_once() {
+    let mut w = World::new();
+    w.doorman.settings.limits.max_open = 1;
+    let (_client, _cache, _) = w.asked();
+    let mut other = w.client();
+    other.put(&request(1, 2, "clip"));
+    assert_eq!(w.frame(&mut other), (8, 1, b"\x32\x01\x05pause\x00\x042000".to_vec()));
+}
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -112,8 +112,8 @@
     }
 
     /// Waits until something is ready, for `wait` at most, and appends what is.
-    pub fn wait(&mut self, wait: Option<Duration>, ready: &mut Vec<Ready>) -> io::Result<()> {
-        match self.poll.poll(&mut self.events, wait) {
+    pub fn wait(&mut self, wait: Duration, ready: &mut Vec<Ready>) -> io::Result<()> {
+        match self.poll.poll(&mut self.events, Some(wait)) {
             Err(e) if e.kind() != io::ErrorKind::Interrupted => return Err(e),
             _ => {}
         }
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -158,6 +158,11 @@
         self.links.iter()
     }
 
+    /// Whether there are as many as there may be.
+    pub fn is_full(&self) -> bool {
+        self.links.len() >= self.most
+    }
+
     /// How many there are.
     pub fn len(&self) -> usize {
         self.links.len()
@@ -185,7 +190,7 @@
         if let Some((token, _)) = dialing {
             return Choice::Wait(token);
         }
-        if self.tokens(depot).len() < self.most_each && self.links.len() < self.most {
+        if self.tokens(depot).len() < self.most_each && !self.is_full() {
             return Choice::Dial(listed.address);
         }
         let least_silent = usable().max_by_key(|(t, l)| (l.asked, *t));
