--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -7,6 +7,9 @@
 //!    +----failed----------+------ended, failed, refused, close()-----+
 //! ```
 
+#[cfg(test)]
+mod tests;
+
 use crate::interface::Time;
 use crate::invariant;
 use bytes::BytesMut;
--- /dev/null
+++ b/src/net/connection/tests.rs
@@ -0,0 +1,162 @@
+//! A model of a connection's states: what each step may change is told here in plain terms, and random steps
+//! are checked against it.
+
+use super::*;
+use crate::net::proto::Malformed;
+use crate::net::testing::{config, Script};
+use proptest::prelude::*;
+
+#[derive(Clone, Debug)]
+enum Step {
+    Dial(bool),
+    Incoming(u8, usize),
+    PeerEnds(bool),
+    Room(usize),
+    Ready(bool, bool),
+    Queue(u8, usize),
+    Flush,
+    Pause(bool),
+    Finish,
+    Close,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    // A large piece now and then, so that buffers and the share of one turn are outgrown.
+    let size = || prop_oneof![8 => 1..2_000usize, 1 => 60_000..700_000usize];
+    prop_oneof![
+        2 => prop_oneof![3 => Just(true), 1 => Just(false)].prop_map(Step::Dial),
+        3 => (prop_oneof![9 => 0..POISON, 1 => Just(POISON)], size()).prop_map(|(b, n)| Step::Incoming(b, n)),
+        1 => any::<bool>().prop_map(Step::PeerEnds),
+        3 => size().prop_map(Step::Room),
+        6 => any::<(bool, bool)>().prop_map(|(r, w)| Step::Ready(r, w)),
+        3 => (any::<u8>(), size()).prop_map(|(b, n)| Step::Queue(b, n)),
+        2 => Just(Step::Flush),
+        2 => any::<bool>().prop_map(Step::Pause),
+        1 => Just(Step::Finish),
+        1 => Just(Step::Close),
+    ]
+}
+
+/// This byte makes no sense to the owner of the connection.
+const POISON: u8 = 12;
+
+/// The owner: keeps what it hears, in order.
+#[derive(Default)]
+struct Owner {
+    opened: usize,
+    heard: Vec<u8>,
+    poisoned: bool,
+}
+
+impl Callbacks for Owner {
+    fn opened(&mut self) {
+        assert!(self.heard.is_empty(), "bytes before the opening");
+        self.opened += 1;
+    }
+
+    fn received(&mut self, bytes: &mut BytesMut) -> Result<(), Malformed> {
+        assert!(!self.poisoned, "bytes after what made no sense");
+        self.heard.extend(&bytes.split()[..]);
+        self.poisoned = self.heard.contains(&POISON);
+        if self.poisoned {
+            return Err(Malformed("poison"));
+        }
+        Ok(())
+    }
+}
+
+fn check(accepted: bool, steps: Vec<Step>) {
+    let script = Script::default();
+    let wire = script.0.clone();
+    let new = if accepted { Connection::accepted } else { Connection::dialing };
+    let mut conn = new(script, 0);
+    let (mut owner, mut sent, mut queued) = (Owner::default(), Vec::new(), Vec::new());
+    for (now, step) in (1..).zip(steps) {
+        let (before, heard, taken) = (conn.state(), owner.heard.len(), wire.borrow().taken.len());
+        let (paused, dial) = (conn.paused, wire.borrow().dial);
+        let blocked = wire.borrow().room < conn.backlog();
+        let mut may_become = vec![before];
+        match step {
+            Step::Dial(ok) => {
+                wire.borrow_mut().dial.get_or_insert(ok);
+            }
+            Step::Incoming(byte, count) => {
+                sent.extend(std::iter::repeat_n(byte, count));
+                wire.borrow_mut().incoming.extend(std::iter::repeat_n(byte, count));
+            }
+            Step::PeerEnds(error) => wire.borrow_mut().end = Some(error),
+            Step::Room(room) => wire.borrow_mut().room = room,
+            Step::Queue(byte, count) => {
+                conn.queue(vec![byte; count]);
+                if !matches!(before, State::Closed(_)) {
+                    queued.extend(std::iter::repeat_n(byte, count));
+                }
+            }
+            Step::Pause(paused) => conn.pause(paused),
+            Step::Ready(readable, writable) => {
+                conn.ready(now, readable, writable, &mut owner);
+                match (before, dial) {
+                    (State::Dialing, Some(false)) if readable || writable => {
+                        may_become = vec![State::Closed(Closed::NeverOpened)];
+                    }
+                    (State::Dialing, Some(true)) if readable || writable => {
+                        may_become = vec![State::Open, State::Finishing, State::Closed(Closed::Lost)];
+                    }
+                    (State::Open, _) => may_become.extend([State::Finishing, State::Closed(Closed::Lost)]),
+                    (State::Finishing, _) if writable && !blocked => {
+                        may_become = vec![State::Closed(Closed::Ours)];
+                    }
+                    _ => {}
+                }
+                if conn.state() == State::Finishing && before != State::Finishing {
+                    assert!(owner.poisoned, "refused without a cause");
+                }
+                if conn.state() == State::Closed(Closed::Lost) && before != conn.state() {
+                    assert!(wire.borrow().end.is_some(), "lost without a cause");
+                }
+            }
+            Step::Flush | Step::Finish => {
+                match step {
+                    Step::Flush => conn.flush(now),
+                    _ => conn.finish(now),
+                }
+                may_become = match (before, step) {
+                    (State::Finishing, _) | (State::Open, Step::Finish) if blocked => vec![State::Finishing],
+                    (State::Finishing | State::Open, Step::Finish) | (State::Finishing, _) => {
+                        vec![State::Closed(Closed::Ours)]
+                    }
+                    (State::Dialing, Step::Finish) => vec![State::Closed(Closed::Ours)],
+                    _ => may_become,
+                };
+                if !blocked && matches!(before, State::Open | State::Finishing) {
+                    assert_eq!(wire.borrow().taken.len(), queued.len(), "room was left unused");
+                }
+            }
+            Step::Close => {
+                conn.close();
+                if !matches!(before, State::Closed(_)) {
+                    may_become = vec![State::Closed(Closed::Ours)];
+                }
+            }
+        }
+        let after = conn.state();
+        assert!(may_become.contains(&after), "{before:?} became {after:?}, not one of {may_become:?}");
+        let wire = wire.borrow();
+        assert!(queued.starts_with(&wire.taken), "bytes went out changed or out of order");
+        assert!(sent.starts_with(&owner.heard), "bytes came in changed or out of order");
+        assert_eq!((conn.written(), conn.queued()), (wire.taken.len() as u64, queued.len() as u64));
+        assert_eq!(owner.opened, usize::from(!accepted && owner.opened > 0), "opened once at most");
+        let listens = matches!(before, State::Open | State::Dialing) && !paused;
+        assert!(listens || owner.heard.len() == heard, "heard while {before:?}, paused {paused}");
+        let talks = !matches!(before, State::Closed(_));
+        assert!(talks || wire.taken.len() == taken, "talked while {before:?}");
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+    #[test]
+    fn random_steps_keep_to_the_model(accepted: bool, steps in prop::collection::vec(step(), 1..60)) {
+        check(accepted, steps);
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -8,6 +8,8 @@
 pub mod feed;
 pub mod pool;
 pub mod proto;
+#[cfg(test)]
+mod testing;
 
 use std::sync::atomic::AtomicU64;
 
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -1,5 +1,8 @@
 //! The connections to depots, kept by the depot's id: a new depot may have the address of one that is gone.
 
+#[cfg(test)]
+mod tests;
+
 use super::connection::Connection;
 use crate::interface::{Id, Listed, Time};
 use mio::net::TcpStream;
--- /dev/null
+++ b/src/net/pool/tests.rs
@@ -0,0 +1,149 @@
+//! A model of the pool: random dials, answers, silences and choices, checked against the limits.
+
+use super::*;
+use crate::net::connection::{Callbacks, State};
+use crate::net::proto::Malformed;
+use crate::net::testing::{config, Script};
+use proptest::prelude::*;
+
+const MULTIPLEX: usize = 2;
+const MOST: usize = 5;
+const EACH: usize = 3;
+
+struct Deaf;
+
+impl Callbacks for Deaf {
+    fn received(&mut self, _: &mut bytes::BytesMut) -> Result<(), Malformed> {
+        Ok(())
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    /// A request of this number goes to this depot; with `true`, its last connection is spent.
+    Ask(u8, bool),
+    /// The dial of one connection comes through.
+    Opens(usize),
+    /// An answer comes on one.
+    Answers(usize),
+    /// One is lost.
+    Lost(usize),
+    /// Writing on one blocks.
+    Blocks(usize),
+    /// Time passes.
+    Passes(Time),
+    /// A depot starts anew.
+    Restarts(u8),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        6 => (0..3u8, prop::bool::weighted(0.2)).prop_map(|(d, s)| Step::Ask(d, s)),
+        4 => (0..MOST).prop_map(Step::Opens),
+        3 => (0..MOST).prop_map(Step::Answers),
+        1 => (0..MOST).prop_map(Step::Lost),
+        1 => (0..MOST).prop_map(Step::Blocks),
+        2 => (1..2 * SILENT).prop_map(Step::Passes),
+        1 => (0..3u8).prop_map(Step::Restarts),
+    ]
+}
+
+fn name(depot: u8) -> Id {
+    format!("s-{depot:08x}").into()
+}
+
+fn listed(started: Time) -> Depot {
+    Depot { address: ([127, 0, 0, 1], 9).into(), listed: Listed::Healthy, started }
+}
+
+fn check(steps: Vec<Step>) {
+    let mut pool: Pool<Script> = Pool::new(MULTIPLEX, MOST, EACH);
+    for depot in 0..2 {
+        pool.list(&name(depot), listed(0));
+    }
+    let (mut now, mut next, mut last) = (SILENT, 0, None);
+    for (number, step) in steps.into_iter().enumerate() {
+        let mut tokens: Vec<Token> = pool.links.keys().copied().collect();
+        tokens.sort();
+        let nth = |n: usize| tokens.get(n).copied();
+        match step {
+            Step::Ask(depot, spent) => {
+                let spent: Vec<Token> = last.filter(|_| spent).into_iter().collect();
+                let (id, depot) = (Id::from(number.to_string()), name(depot));
+                match pool.choose(&depot, now, &spent) {
+                    Choice::Use(token) => {
+                        let link = pool.link(token).unwrap();
+                        assert!(link.conn.is_open() && link.conn.backlog() == 0, "behind what waits");
+                        assert!(!spent.contains(&token), "on a connection that is spent");
+                        assert!(link.out.len() < MULTIPLEX && link.depot == depot);
+                        let silent = link.is_silent(now);
+                        link.out.insert(id, 0);
+                        link.asked.get_or_insert(now);
+                        let others = pool.tokens(&depot).len();
+                        assert!(!silent || others == EACH || pool.is_full(), "silent, with room for a dial");
+                        last = Some(token);
+                    }
+                    Choice::Wait(token) => {
+                        let link = pool.link(token).unwrap();
+                        assert!(link.conn.state() == State::Dialing && link.waiting.len() < MULTIPLEX);
+                        link.waiting.push(id);
+                    }
+                    Choice::Dial(_) => {
+                        assert!(pool.tokens(&depot).len() < EACH && !pool.is_full());
+                        let conn = Connection::dialing(Script::default(), now);
+                        next += 1;
+                        pool.add(Token(next), Link::new(conn, depot, now));
+                    }
+                    Choice::Full => {
+                        let usable = |t: &&Token| pool.links[*t].conn.is_open() && !spent.contains(t);
+                        let room = |t: &&Token| pool.links[*t].out.len() < MULTIPLEX;
+                        let free = |t: &&Token| pool.links[*t].conn.backlog() == 0;
+                        let left = pool.tokens(&depot).iter().filter(usable).filter(room).find(free);
+                        assert!(left.is_none() || pool.depot(&depot).is_none(), "there was room");
+                    }
+                }
+            }
+            Step::Opens(n) => {
+                let Some(link) = nth(n).and_then(|t| pool.link(t)) else { continue };
+                link.conn.transport().0.borrow_mut().dial = Some(true);
+                link.conn.ready(now, false, true, &mut Deaf);
+                for id in std::mem::take(&mut link.waiting) {
+                    link.out.insert(id, 0);
+                    link.asked.get_or_insert(now);
+                }
+            }
+            Step::Answers(n) => {
+                let Some(link) = nth(n).and_then(|t| pool.link(t)) else { continue };
+                if let Some(id) = link.out.keys().next().cloned() {
+                    link.out.remove(&id);
+                    link.heard(now);
+                    assert!(!link.is_silent(now) && link.asked.is_some() != link.out.is_empty());
+                }
+            }
+            Step::Lost(n) => {
+                nth(n).and_then(|t| pool.remove(t));
+            }
+            Step::Blocks(n) => {
+                nth(n).and_then(|t| pool.link(t)).into_iter().for_each(|l| l.conn.queue(vec![0]));
+            }
+            Step::Passes(span) => now += span,
+            Step::Restarts(depot) => {
+                let old = pool.list(&name(depot), listed(now));
+                old.into_iter().for_each(|t| drop(pool.remove(t)));
+                let stays = |l: &Link<Script>| l.depot != name(depot) || l.dialed >= now;
+                assert!(pool.links.values().all(stays), "a connection to a process that is no more");
+            }
+        }
+        assert!(pool.len() <= MOST && pool.by_depot.values().all(|t| t.len() <= EACH));
+        assert_eq!(pool.by_depot.values().map(Vec::len).sum::<usize>(), pool.len());
+        assert!(pool.idle(now, 0).iter().all(|t| pool.links[t].is_idle()));
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+    #[test]
+    fn random_steps_keep_to_the_limits(steps in prop::collection::vec(step(), 1..120)) {
+        check(steps);
+    }
+}
