--- /dev/null
+++ b/Makefile
@@ -0,0 +1,21 @@
+# Build, test, lint and run larchdale.
+.PHONY: build test lint run example
+
+build:
+	cargo build --release --locked
+
+lint:
+	cargo fmt --check
+	cargo clippy --locked --all-targets -- -D warnings
+
+test: lint build
+	cargo test --locked
+
+# The doorman of the configuration that PROXY_CONFIG names, or else of the example.
+run: build
+	PROXY_CONFIG="$${PROXY_CONFIG:-examples/config.json}" target/release/larchdale
+
+# A doorman with toy depots and a toy client, all on loopback, for some seconds.
+example: build
+	cargo build --locked --example toy_server
+	sh examples/play.sh
--- a/src/main.rs
+++ b/src/main.rs
@@ -52,14 +52,15 @@
     };
     let (log, guard) = logger(&config.name);
     let listen = config.listen;
-    let doorman = match Doorman::start(config, clock, log.clone()) {
-        Ok(doorman) => doorman,
+    let started = Doorman::start(config, clock, log.clone()).and_then(|d| Ok((d.address()?, d)));
+    let (address, doorman) = match started {
+        Ok(started) => started,
         Err(e) => {
             eprintln!("larchdale: can't listen on {listen}: {e}");
             return ExitCode::from(2);
         }
     };
-    info!(log, "listening"; "address" => %listen);
+    info!(log, "listening"; "address" => %address);
     let ended = doorman.run();
     end_log(guard);
     match ended {
--- a/src/net/doorman.rs
+++ b/src/net/doorman.rs
@@ -28,6 +28,7 @@
 use slog::{info, warn, Logger};
 use std::collections::VecDeque;
 use std::io::{self, ErrorKind};
+use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -256,6 +257,11 @@
         Ok(doorman)
     }
 
+    /// Where it listens: as configured, with the port that the system chose where that was 0.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.listener.1.local_addr()
+    }
+
     /// Runs until told to end and everything taken is answered.
     pub fn run(mut self) -> io::Result<()> {
         while !self.is_over() {
@@ -702,7 +708,7 @@
 
     // ---- depots ----
 
-    fn dial(&mut self, depot: &Id, address: std::net::SocketAddr) -> Option<Token> {
+    fn dial(&mut self, depot: &Id, address: SocketAddr) -> Option<Token> {
         self.figures.dials += 1;
         let dialed = TcpStream::connect(address).and_then(|mut stream| {
             stream.set_nodelay(true)?;
--- a/src/net/proto/mod.rs
+++ b/src/net/proto/mod.rs
@@ -6,6 +6,8 @@
 pub mod command_channel;
 pub mod frames;
 pub mod resp;
+#[cfg(test)]
+mod tests;
 
 /// One request as a client made it. Texts that are passed on unchanged are kept as they came.
 #[derive(Clone, Debug, Default, PartialEq)]
--- /dev/null
+++ b/src/net/proto/tests.rs
@@ -0,0 +1,139 @@
+//! The codecs by themselves: whatever way the bytes are cut, the same messages come out, and none from noise.
+
+use super::{command_channel, frames, resp, Ask, Malformed, Reply};
+use crate::interface::Fetch;
+use crate::net::testing::config;
+use bytes::BytesMut;
+use proptest::prelude::*;
+
+/// All messages, with the bytes handed over in pieces of these sizes.
+fn pieces<M>(
+    mut bytes: &[u8],
+    sizes: &[usize],
+    decode: fn(&mut BytesMut) -> Result<Option<M>, Malformed>,
+) -> Result<Vec<M>, Malformed> {
+    let (mut buffer, mut out) = (BytesMut::new(), Vec::new());
+    let mut sizes = sizes.iter().cycle();
+    while !bytes.is_empty() {
+        let (piece, rest) = bytes.split_at(bytes.len().min(*sizes.next().unwrap_or(&1)));
+        buffer.extend_from_slice(piece);
+        bytes = rest;
+        while let Some(message) = decode(&mut buffer)? {
+            out.push(message);
+        }
+    }
+    Ok(out)
+}
+
+const REQUEST: &[u8] = b"\x00\x00\x00\x80\x07\x00\x00\x00\x05\x08\
+    \x05route\x00\x07segment\x05trace\x00\x109b1f03aa5c7e2d41\x08patience\x00\x041500\
+    \x06entity\x00\x107f3a9c21e0b4d655\x03nth\x00\x013\x05batch\x00\x0217\x04size\x00\x05412.5\
+    \x04redo\x00\x011a body";
+
+const ANSWERS: &[u8] =
+    b"*4\r\n$2\r\nid\r\n$2\r\nok\r\n$27\r\ntag=4be0,minted=17,note=hit\r\n$5\r\nby\r\nt\r\n\
+    *4\r\n$1\r\nx\r\n$7\r\nrefused\r\n$1\r\n-\r\n$0\r\n\r\n";
+
+const EVENTS: &[u8] = b"\x00\x00\x00\x09\x00\x00\x00\x00\x00\x00\x00\x29\x00\
+    \x00\x00\x00\x24\x00\x00\x00\x00\x00\x00\x00\x2a\x02\
+    \x00\xc4\x1f\x7a\x0a\x01\x00\x09\x23\x82\x01\x03\x00\x00\x02\x00\x00\x0f\xa0\x00\x00\x00\x00\x00\x00\x00\x07\
+    \x00\x00\x00\x13\x00\x00\x00\x00\x00\x00\x00\x2b\x04\x00\x11\x00\x00\x00\x00\x00\x00\x00\x09";
+
+#[test]
+fn a_request_is_read_field_by_field() {
+    let read = pieces(REQUEST, &[REQUEST.len()], frames::decode).unwrap();
+    let ask = Ask {
+        trace: "9b1f03aa5c7e2d41".into(),
+        route: "segment".into(),
+        patience_ms: 1500,
+        nonce: None,
+        entity: ("7f3a9c21e0b4d655".into(), 0x7f3a9c21e0b4d655),
+        nth: 3,
+        batch: 17,
+        size_kb: 412.5,
+        got: None,
+        body: b"a body".to_vec(),
+    };
+    assert_eq!(read, [frames::ClientMessage::Request { stream: 5, ask: Box::new(ask) }]);
+}
+
+#[test]
+fn answers_and_events_are_read_whole() {
+    let answers = pieces(ANSWERS, &[ANSWERS.len()], resp::decode).unwrap();
+    assert_eq!((answers[0].field("tag"), &answers[0].body[..]), (Some("4be0"), &b"by\r\nt"[..]));
+    assert_eq!((answers[1].word, answers.len()), (resp::Word::Refused, 2));
+    let events = pieces(EVENTS, &[EVENTS.len()], command_channel::decode).unwrap();
+    let record = command_channel::Record {
+        id: "s-00c41f7a".into(),
+        address: ([10, 1, 0, 9], 9090).into(),
+        state: command_channel::State::Draining,
+        zone: 3,
+        kind: 0,
+        cell: 2,
+        weight: 4.0,
+        started_ms: 7,
+    };
+    let depots = command_channel::Command::Depots { whole: false, records: vec![record] };
+    let what = command_channel::Purge::Group(17);
+    let purge = command_channel::Command::Purge { what, when_ms: 9 };
+    assert_eq!(events, [(41, None), (42, Some(depots)), (43, Some(purge))]);
+}
+
+#[test]
+fn an_age_is_rounded_down_but_never_to_the_default() {
+    // 0 would mean the class's own time: a purge that was a moment ago would be undone.
+    let rounded = [0, 1, 999, 1000, 85_999, 12_000_000].map(resp::fresh_ms);
+    assert_eq!(rounded, [0, 1, 1, 1, 85, 12_000]);
+}
+
+#[test]
+fn a_want_names_what_the_module_decided_and_no_more() {
+    let ask = Ask { trace: "t".into(), route: "page".into(), entity: ("e".into(), 14), ..Ask::default() };
+    let mut fetch =
+        Fetch { source: "s-2".into(), max_age: 0, keep: 0, join: false, held_only: true, renew: true };
+    let want = |fetch: Option<&Fetch>| String::from_utf8(resp::want(&ask, "s-1", fetch, 1_999)).unwrap();
+    assert!(want(Some(&fetch)).contains("\r\nc=page,k=e,p=0,w=1,via=s-2,opts=h+r\r\n$0\r\n"));
+    // The server itself as source means that nothing is filled.
+    fetch.source = "s-1".into();
+    assert!(!want(Some(&fetch)).contains("via"));
+    assert!(want(None).contains("\r\nc=page,k=e,p=0,w=1\r\n"));
+}
+
+#[test]
+fn replies_are_framed_as_the_protocol_says() {
+    let reply = |r| frames::answer(9, &r);
+    assert_eq!(reply(Reply::Served(b"xy".to_vec())), b"\x00\x00\x00\x09\x08\x00\x00\x00\x09\x14\x00xy");
+    assert_eq!(reply(Reply::Failed), b"\x00\x00\x00\x07\x08\x00\x00\x00\x09\x33\x00");
+    assert_eq!(frames::leaving(), b"\x00\x00\x00\x05\x03\x00\x00\x00\x00");
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn messages_may_be_cut_anywhere(sizes in prop::collection::vec(1..40usize, 1..20)) {
+        let whole = [1 << 20];
+        prop_assert_eq!(pieces(REQUEST, &sizes, frames::decode), pieces(REQUEST, &whole, frames::decode));
+        prop_assert_eq!(pieces(ANSWERS, &sizes, resp::decode), pieces(ANSWERS, &whole, resp::decode));
+        let events = pieces(EVENTS, &whole, command_channel::decode);
+        prop_assert_eq!(pieces(EVENTS, &sizes, command_channel::decode), events);
+    }
+
+    /// One byte changed or noise alone: an error or messages, never a panic or more held than came.
+    #[test]
+    fn noise_is_survived(at in 0..400usize, byte: u8, noise in prop::collection::vec(any::<u8>(), 0..200)) {
+        for bytes in [REQUEST, ANSWERS, EVENTS, &noise] {
+            let mut bytes = bytes.to_vec();
+            if let Some(b) = bytes.get_mut(at) {
+                *b = byte;
+            }
+            for read in [
+                pieces(&bytes, &[7], frames::decode).map(|m| m.len()),
+                pieces(&bytes, &[7], resp::decode).map(|m| m.len()),
+                pieces(&bytes, &[7], command_channel::decode).map(|m| m.len()),
+            ] {
+                prop_assert!(read.unwrap_or(0) <= bytes.len() / 9);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/program.rs
@@ -0,0 +1,156 @@
+//! The program as it is started: configuration, signals, descriptors, a log that nobody reads.
+#![cfg(unix)]
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::TcpStream;
+use std::path::PathBuf;
+use std::process::{Child, ChildStderr, Command, Stdio};
+use std::time::Duration;
+
+/// Far longer than anything here takes: only a hang gets there.
+const HANG: Duration = Duration::from_secs(60);
+
+struct Program {
+    child: Child,
+    log: BufReader<ChildStderr>,
+    listen: String,
+    _files: Scratch,
+}
+
+/// A folder of its own, removed at the end.
+struct Scratch(PathBuf);
+
+impl Scratch {
+    fn new(name: &str) -> Self {
+        let path = std::env::temp_dir().join(format!("larchdale-{}-{name}", std::process::id()));
+        std::fs::create_dir_all(&path).unwrap();
+        Scratch(path)
+    }
+}
+
+impl Drop for Scratch {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// The example's configuration, with addresses of this test's own.
+fn config(listen: &str) -> String {
+    let text = include_str!("../examples/config.json");
+    let mut config: serde_json::Value = serde_json::from_str(text).unwrap();
+    config["listen"] = listen.into();
+    config["channel"] = "127.0.0.1:9".into();
+    config.to_string()
+}
+
+fn start(name: &str, shell: &str) -> Program {
+    let files = Scratch::new(name);
+    let path = files.0.join("config.json");
+    std::fs::write(&path, config("127.0.0.1:0")).unwrap();
+    let mut child = Command::new("/bin/sh")
+        .args(["-c", &format!("{shell} exec \"$0\""), env!("CARGO_BIN_EXE_larchdale")])
+        .env("PROXY_CONFIG", &path)
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    // Its first line says where it listens; what comes after is left unread.
+    let mut log = BufReader::new(child.stderr.take().unwrap());
+    let mut first = String::new();
+    log.read_line(&mut first).unwrap();
+    let listen = first.split_once("address: ").and_then(|p| p.1.split_once(',')).unwrap().0.to_owned();
+    Program { child, log, listen, _files: files }
+}
+
+impl Program {
+    fn connect(&self) -> TcpStream {
+        let stream = TcpStream::connect(&self.listen).unwrap();
+        stream.set_read_timeout(Some(HANG)).unwrap();
+        stream
+    }
+
+    fn is_ready(&self) -> bool {
+        let mut client = self.connect();
+        client.write_all(&[0, 0, 0, 6, 1, 0, 0, 0, 9, 0]).unwrap();
+        let mut answer = [0; 11];
+        client.read_exact(&mut answer).unwrap();
+        answer == [0, 0, 0, 7, 2, 0, 0, 0, 9, 20, 0]
+    }
+}
+
+fn refused(config: Option<&str>, name: &str) -> String {
+    let files = Scratch::new(name);
+    let path = files.0.join("config.json");
+    if let Some(text) = config {
+        std::fs::write(&path, text).unwrap();
+    }
+    let mut command = Command::new(env!("CARGO_BIN_EXE_larchdale"));
+    let output = command.env("PROXY_CONFIG", &path).output().unwrap();
+    assert!(!output.status.success());
+    let message = String::from_utf8(output.stderr).unwrap();
+    assert_eq!(message.lines().count(), 1, "{message}");
+    message
+}
+
+#[test]
+fn a_bad_configuration_ends_with_one_clear_line() {
+    assert!(refused(None, "none").contains("can't read"));
+    assert!(refused(Some("{"), "json").contains("is not a configuration"));
+    let good = config("127.0.0.1:0");
+    for (from, to, named) in [
+        ("\"127.0.0.1:0\"", "\"nowhere\"", "listen"),
+        ("\"SERVING\"", "\"DANCING\"", "lifecycle"),
+        ("\"multiplex\":32", "\"multiplex\":0", "multiplex"),
+        ("\"127.0.0.1:0\"", "\"203.0.113.7:1\"", "can't listen"),
+    ] {
+        assert!(good.contains(from), "{from}");
+        let message = refused(Some(&good.replace(from, to)), "value");
+        assert!(message.contains(named), "{message}");
+    }
+}
+
+#[test]
+fn sigterm_ends_it_with_0() {
+    let mut program = start("sigterm", "");
+    assert!(program.is_ready());
+    let pid = program.child.id().to_string();
+    assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+    assert_eq!(program.child.wait().unwrap().code(), Some(0));
+    let mut rest = String::new();
+    program.log.read_to_string(&mut rest).unwrap();
+    assert!(rest.contains("draining") && rest.contains("leaving"), "{rest}");
+}
+
+#[test]
+fn running_out_of_descriptors_is_survived() {
+    let program = start("descriptors", "ulimit -n 24;");
+    let held: Vec<TcpStream> = (0..60).map(|_| program.connect()).collect();
+    drop(held);
+    assert!(program.is_ready());
+}
+
+#[test]
+fn a_log_that_nobody_reads_holds_nothing_up() {
+    // Each of these costs a line; together far more than a pipe and the waiting lines can hold.
+    let mut program = start("log", "");
+    for _ in 0..4_000 {
+        let mut client = program.connect();
+        client.write_all(&[255; 8]).unwrap();
+        let mut told = [0; 9];
+        client.read_exact(&mut told).unwrap();
+        assert_eq!(told[4..], [8, 0, 0, 0, 0]);
+    }
+    assert!(program.is_ready());
+    // Now that the log is read, it says that lines were dropped.
+    assert!(program
+        .log
+        .by_ref()
+        .lines()
+        .any(|l| l.unwrap().contains("dropped messages due to channel overflow")));
+}
