Blame the source for refusals by its record where no note tells who refused

Between 5 and 20 s one attempt in three through the branches n0 and n1 ended 'refused'; dials_failed was 0, so no cache was down, and one parent left the list at 16.5 s. Ruled out: the program round the module (0 lost, 0 dropped, latest timer 2.4 ms), and caches that were full (n2 refused 10 of 2,156).

Cause, logic.rs judge() and outcome(): with detail 'hit' a refusal has no note, timing() then counts it for neither cache nor source, so is_later() never becomes true for a parent that refuses at once; it is neither ejected nor held as a bad source, and requests try another cache with the same dead parent.

Now the source gets its part of the verdict by its record, as other failures do (its_part, taken out of blame()); the cache gets none, so caches that are full are not ejected for it.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -712,7 +712,7 @@
                 true
             }
             (Code::Miss, _) => true,
-            (Code::Full, Some(s)) => untold && self.is_later(s, attempt.server),
+            (Code::Full, Some(s)) if self.is_later(s, attempt.server) => untold,
             (_, Some(s)) => untold && self.servers[s].rate > self.servers[attempt.server].rate,
             (_, None) => false,
         };
@@ -854,8 +854,13 @@
             // Danger: where nothing is told, a parent that is full or dead looks like a full cache.
             _ if outcome.code == Code::Full && self.settings.detail != Detail::All => {
                 self.timing(attempt, outcome.note, true);
-                if let Some(source) = source.filter(|&s| self.is_later(s, attempt.server)) {
-                    self.verdict(source, STEP, true);
+                if let Some(source) = source {
+                    let part = if self.is_later(source, attempt.server) {
+                        1.0
+                    } else {
+                        self.its_part(attempt, source)
+                    };
+                    self.verdict(source, STEP * part, true);
                 }
             }
             _ if outcome.code == Code::Full => self.room(attempt.server, false),
@@ -880,12 +885,17 @@
         let Some(source) = attempt.source.filter(|&s| s != attempt.server) else {
             return self.verdict(attempt.server, step, true);
         };
+        let its = self.its_part(attempt, source);
+        self.verdict(attempt.server, step * (1.0 - its), true);
+        self.verdict(source, step * its, true);
+    }
+
+    /// The source's part of the blame.
+    fn its_part(&self, attempt: Attempt, source: usize) -> f64 {
         let (cache, from) = (&self.servers[attempt.server], &self.servers[source]);
         let mine = cache.rate + BLAME_FLOOR;
         let its = (from.rate + BLAME_FLOOR) * (1.0 - cache.hit_share);
-        let part = mine / (mine + its);
-        self.verdict(attempt.server, step * part, true);
-        self.verdict(source, step * (1.0 - part), true);
+        its / (mine + its)
     }
 
     fn verdict(&mut self, s: usize, step: f64, bad: bool) {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -298,3 +298,28 @@
     let Action::Send { fetch: Some(fetch), .. } = &actions[0] else { panic!("{actions:?}") };
     assert!(fetch.held_only && fetch.source.starts_with("parent"), "{fetch:?}");
 }
+
+#[test]
+fn a_parent_that_refuses_every_fill_is_passed_over_though_no_note_tells_who_refused() {
+    let mut r = router_with(Settings { detail: Detail::Hits, ..settings() }, fleet());
+    let (mut early, mut late) = (0, 0);
+    for n in 0..400 {
+        let (now, id) = (T0 + S + n * 20 * MS, format!("r{n}"));
+        let mut actions = ask(&mut r, now, &id, PAGE, n);
+        for attempt in 0..4 {
+            if !sends(&actions) {
+                break;
+            }
+            let dead = sent(&actions).1 == "parent-0";
+            *if n < 200 { &mut early } else { &mut late } += u32::from(dead);
+            // The cache turns away what its source turned away; hits and other fills go on.
+            let code = if dead && n % 3 > 0 { Code::Full } else { Code::Served };
+            let note = if n % 3 == 0 { Note::Hit } else { Note::Filled };
+            let note = if code == Code::Full { Note::Untold } else { note };
+            let outcome = Outcome { note, ..end(&id, attempt, code) };
+            actions = tell(&mut r, now + MS, Event::Outcome(outcome));
+        }
+    }
+    // Found, then tried one at a time: it must not go on being asked for its third of all fills.
+    assert!(early > 0 && late < 20, "asked {early} times at first, {late} later");
+}
