A taken name fails alone; idle time counts from the last byte; bounds tested

A request with the name of an open one closed its whole connection. A client may send a request again that crossed a close, so now that request fails by itself and the first goes on (clients.rs, request()).

The test of idle connections failed at first: a connection counted as idle from its last want, not from its last answer or never_mind (pool.rs heard(), upstream.rs give_up()), and was closed while the depot still held it as fresh.

New tests: the bound on what is held for all clients, a reader that stalls, the bound on bodies, idle connections on both sides. Debug lines for outcomes and answers.

--- a/src/net/doorman.rs
+++ b/src/net/doorman.rs
@@ -28,7 +28,7 @@
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Token};
 use rustc_hash::FxHashMap;
-use slog::{info, warn, Logger};
+use slog::{debug, info, warn, Logger};
 use std::collections::VecDeque;
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
--- a/src/net/doorman/clients.rs
+++ b/src/net/doorman/clients.rs
@@ -91,7 +91,12 @@
         let class = class.ok_or(Malformed("unknown route"))?;
         let id: Id = ask.trace.as_str().into();
         if self.requests.contains_key(&id) {
-            return Err(Malformed("trace of an open request"));
+            // Guards the request that has the name already: its attempts and answers go by it. This one may be
+            // the same request come twice, so nothing is said of whether it ran.
+            if let Some(client) = self.clients.get_mut(&token) {
+                client.conn.queue(frames::answer(stream, &Reply::Failed));
+            }
+            return Ok(());
         }
         self.figures.requests += 1;
         let patience = ask.patience_ms.saturating_mul(MS).min(self.longest_wait());
@@ -142,6 +147,7 @@
         let Some(open) = self.requests.get_mut(id).filter(|o| !o.done) else { return };
         open.done = true;
         let (token, stream, ended) = (open.client, open.stream, open.attempt.is_none());
+        debug!(self.log, "answer"; "request" => %id, "reply" => reply.name());
         match reply {
             Reply::Served(_) | Reply::StillGood => self.figures.served += 1,
             Reply::Refused { .. } => self.figures.refused += 1,
--- a/src/net/doorman/tests.rs
+++ b/src/net/doorman/tests.rs
@@ -616,3 +616,64 @@
     other.put(&request(1, 2, "clip"));
     assert_eq!(w.frame(&mut other), (8, 1, b"\x32\x01\x05pause\x00\x042000".to_vec()));
 }
+
+#[test]
+fn a_name_that_is_taken_fails_and_leaves_the_first_request_alone() {
+    let mut w = World::new();
+    let (mut client, mut cache, _) = w.asked();
+    let mut other = w.client();
+    other.put(&request(1, 1, "clip"));
+    assert_eq!(w.frame(&mut other), (8, 1, vec![51, 0]));
+    cache.put(&answer(&trace(1), "ok", "-", "x"));
+    assert_eq!(w.frame(&mut client), (8, 1, b"\x14\x00x".to_vec()));
+    w.silent(&mut other);
+}
+
+#[test]
+fn idle_connections_are_closed_in_time_and_those_in_use_are_not() {
+    let mut w = World::new();
+    let (mut client, mut cache, _) = w.asked();
+    // The request ends at its patience; from then on nothing happens on either side.
+    w.skip(1_500 * MS);
+    w.frame(&mut client);
+    w.command(&mut cache);
+    w.skip(13_000 * MS);
+    assert_eq!((w.doorman.pool.len(), w.doorman.clients.len()), (1, 1));
+    w.skip(1_000 * MS);
+    w.ended(&mut cache);
+    assert_eq!((w.doorman.pool.len(), w.doorman.clients.len()), (0, 1));
+    w.skip(CLIENT_IDLE);
+    w.ended(&mut client);
+}
+
+#[test]
+fn what_is_held_for_clients_has_a_bound_and_who_takes_nothing_is_let_go() {
+    let mut w = World::new();
+    let mut peers = [w.client(), w.client()];
+    for peer in &mut peers {
+        peer.put(&frame(1, 0, &fields(&[])));
+        w.frame(peer);
+    }
+    let mut tokens: Vec<Token> = w.doorman.clients.keys().copied().collect();
+    tokens.sort();
+    let mut hold = |token: &Token, bytes: usize| {
+        w.doorman.clients.get_mut(token).unwrap().conn.queue(vec![0; bytes]);
+    };
+    hold(&tokens[0], 1_000);
+    hold(&tokens[1], ALL_HELD);
+    w.doorman.sweep();
+    assert!(w.doorman.clients.keys().eq([&tokens[0]]), "the one with most goes");
+    w.doorman.now += STALLED;
+    w.doorman.sweep();
+    assert!(w.doorman.clients.is_empty(), "the other took nothing for too long");
+}
+
+#[test]
+fn bodies_beyond_the_bound_are_refused_at_once() {
+    let mut w = World::new();
+    w.doorman.bodies = ALL_BODIES;
+    let mut client = w.client();
+    client.put(&request(1, 1, "edit"));
+    assert_eq!(w.frame(&mut client), (8, 1, b"\x32\x01\x05pause\x00\x042000".to_vec()));
+    assert_eq!(w.doorman.bodies, ALL_BODIES);
+}
--- a/src/net/doorman/upstream.rs
+++ b/src/net/doorman/upstream.rs
@@ -96,6 +96,7 @@
             if let Some(end) = end {
                 link.out.remove(id);
                 link.conn.queue(resp::never_mind(id));
+                link.used = self.now;
                 link.conn.flush(self.now);
                 if link.out.is_empty() {
                     link.asked = None;
@@ -130,6 +131,8 @@
         let last = self.requests.get(id).is_none_or(|o| o.done);
         let (code, note, report) = end;
         let (request, took) = (id.clone(), self.now.saturating_sub(sent));
+        debug!(self.log, "outcome"; "request" => %id, "attempt" => attempt, "code" => ?code, "note" => ?note,
+               "took_us" => took, "last" => last);
         let outcome = Outcome { request, attempt, code, last, took, fill_wait: 0, note, report };
         self.events.push_back(Event::Outcome(outcome));
     }
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -39,7 +39,7 @@
     pub waiting: Vec<Id>,
     /// Since when an answer, any answer, has been awaited.
     pub asked: Option<Time>,
-    /// When it last had an attempt.
+    /// When bytes last went one way or the other.
     pub used: Time,
 }
 
@@ -57,6 +57,7 @@
 
     /// Notes that bytes have come.
     pub fn heard(&mut self, now: Time) {
+        self.used = now;
         self.asked = if self.out.is_empty() { None } else { Some(now) };
     }
 
--- a/src/net/proto/mod.rs
+++ b/src/net/proto/mod.rs
@@ -55,6 +55,18 @@
     Failed,
 }
 
+impl Reply {
+    /// What it is, in a word.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Reply::Served(_) => "served",
+            Reply::StillGood => "still good",
+            Reply::Refused { .. } => "refused",
+            Reply::Failed => "failed",
+        }
+    }
+}
+
 /// Why bytes could not be read as a message; ends the connection they came on.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Malformed(pub &'static str);
