Forget depots that are gone; the pool's model knows of them

The pool kept an entry for every depot that ever was (pool.rs unlist()): machines come and go without end, so it grew without bound. A missing entry already meant 'nowhere to go' and 'close when idle'; now gone is the same as missing.

--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -123,11 +123,9 @@
         self.tokens(id).iter().filter(old).copied().collect()
     }
 
-    /// Marks a depot as gone. Its connections end when they are idle.
+    /// Forgets a depot that is gone: machines come and go without end. Its connections end when they are idle.
     pub fn unlist(&mut self, id: &str) {
-        if let Some(depot) = self.depots.get_mut(id) {
-            depot.listed = Listed::Gone;
-        }
+        self.depots.remove(id);
     }
 
     fn tokens(&self, depot: &str) -> &[Token] {
@@ -210,7 +208,7 @@
 
     /// Connections that nothing needs: idle for `limit`, or at once where the depot is gone.
     pub fn idle(&self, now: Time, limit: Time) -> Vec<Token> {
-        let gone = |l: &Link<T>| self.depots.get(&l.depot).is_none_or(|d| d.listed == Listed::Gone);
+        let gone = |l: &Link<T>| !self.depots.contains_key(&l.depot);
         let over = |l: &Link<T>| l.is_idle() && (gone(l) || now.saturating_sub(l.used) >= limit);
         self.links.iter().filter(|(_, l)| over(l)).map(|(t, _)| *t).collect()
     }
--- a/src/net/pool/tests.rs
+++ b/src/net/pool/tests.rs
@@ -34,6 +34,8 @@
     Passes(Time),
     /// A depot starts anew.
     Restarts(u8),
+    /// A depot is gone.
+    Goes(u8),
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -45,6 +47,7 @@
         1 => (0..MOST).prop_map(Step::Blocks),
         2 => (1..2 * SILENT).prop_map(Step::Passes),
         1 => (0..3u8).prop_map(Step::Restarts),
+        1 => (0..3u8).prop_map(Step::Goes),
     ]
 }
 
@@ -127,6 +130,10 @@
                 nth(n).and_then(|t| pool.link(t)).into_iter().for_each(|l| l.conn.queue(vec![0]));
             }
             Step::Passes(span) => now += span,
+            Step::Goes(depot) => {
+                pool.unlist(&name(depot));
+                assert_eq!(pool.choose(&name(depot), now, &[]), Choice::Full);
+            }
             Step::Restarts(depot) => {
                 let old = pool.list(&name(depot), listed(now));
                 old.into_iter().for_each(|t| drop(pool.remove(t)));
@@ -134,6 +141,10 @@
                 assert!(pool.links.values().all(stays), "a connection to a process that is no more");
             }
         }
+        if let Some(token) = tokens.iter().find(|t| pool.links.get(t).is_some_and(|l| l.is_idle())) {
+            let listed = pool.depot(&pool.links[token].depot).is_some();
+            assert!(listed || pool.idle(now, Time::MAX).contains(token), "kept open to one that is gone");
+        }
         assert!(pool.len() <= MOST && pool.by_depot.values().all(|t| t.len() <= EACH));
         assert_eq!(pool.by_depot.values().map(Vec::len).sum::<usize>(), pool.len());
         assert!(pool.idle(now, 0).iter().all(|t| pool.links[t].is_idle()));
