SIGHUP reads the configuration again and moves the command channel with its cursor

Now the loop hears of SIGHUP (one flag a kind of signal, set before the pipe wakes the loop, so that both can come at once). Config::read parses and checks the whole file; only then Feed::move_to drops the old link and dials the new address with its cursor. Open requests are not touched. `known` of the new file is not used: the channel tells all after the cursor.

Ruled out: a wrong file taking effect (test with an empty, a cut and a bad one).

Test: sighup_moves_the_channel_with_its_cursor_and_a_bad_file_changes_nothing (ends by signal without the change).

--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -16,8 +16,10 @@
     pub listen: SocketAddr,
     /// For random numbers; new with each start.
     pub seed: u64,
-    /// The most descriptors that it may hold.
-    pub sockets: usize,
+    /// The file that it was read from; SIGHUP has it read again.
+    pub path: PathBuf,
+    /// What it may use.
+    pub limits: Limits,
     /// Where the command channel is.
     pub channel: SocketAddr,
     /// Number of the last event in `known`.
@@ -60,16 +62,25 @@
     name: String,
     listen: String,
     seed: String,
-    limits: FileLimits,
+    limits: Limits,
     channel: String,
     #[serde(default)]
     known: Known,
     settings: Document,
 }
 
-#[derive(Deserialize)]
-struct FileLimits {
-    sockets: usize,
+/// What the process may use.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+pub struct Limits {
+    /// Descriptors.
+    pub sockets: usize,
+    /// Memory in MB; what is not told is taken for the least that is given.
+    #[serde(default = "least_memory")]
+    pub memory_mb: usize,
+}
+
+fn least_memory() -> usize {
+    32
 }
 
 #[derive(Deserialize, Default)]
@@ -121,13 +132,18 @@
     /// Reads the file that the environment names.
     pub fn from_env() -> Result<Config, ConfigError> {
         let path = PathBuf::from(std::env::var_os("PROXY_CONFIG").ok_or(ConfigError::NotNamed)?);
+        Config::read(path)
+    }
+
+    /// Reads a file.
+    pub fn read(path: PathBuf) -> Result<Config, ConfigError> {
         let text = std::fs::read_to_string(&path).map_err(|e| ConfigError::Unreadable(path.clone(), e))?;
         Config::parse(&text, path)
     }
 
     /// Reads a configuration; `path` is for messages.
     pub fn parse(text: &str, path: PathBuf) -> Result<Config, ConfigError> {
-        let file: File = serde_json::from_str(text).map_err(|e| ConfigError::NotJson(path, e))?;
+        let file: File = serde_json::from_str(text).map_err(|e| ConfigError::NotJson(path.clone(), e))?;
         let settings = file.settings;
         let command = |event: KnownEvent| known(event, &settings);
         let known = file.known.cmds.into_iter().map(command).collect::<Result<Vec<_>, _>>()?;
@@ -136,7 +152,8 @@
             name: file.name,
             listen: address("listen", file.listen)?,
             seed: u64::from_str_radix(&file.seed, 16).map_err(|_| ConfigError::Value("seed", file.seed))?,
-            sockets: file.limits.sockets,
+            path,
+            limits: file.limits,
             channel: address("channel", file.channel)?,
             cursor: file.known.cursor,
             known,
--- a/src/net/doorman.rs
+++ b/src/net/doorman.rs
@@ -32,6 +32,7 @@
 use std::collections::VecDeque;
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -197,6 +198,9 @@
     log: Logger,
     clock: Clock,
     now: Time,
+    name: String,
+    listen: SocketAddr,
+    config_path: PathBuf,
     settings: Document,
     router: Router,
     event_loop: EventLoop,
@@ -227,11 +231,14 @@
         let mut listener = TcpListener::bind(config.listen)?;
         let token = event_loop.add(&mut listener, Interest::READABLE)?;
         let router = Router::new(config.settings.for_router(), config.seed);
-        let upstream = (config.sockets / UPSTREAM_PART).max(MOST_EACH);
+        let upstream = (config.limits.sockets / UPSTREAM_PART).max(MOST_EACH);
         let mut doorman = Doorman {
             now: clock.now(),
             log,
             clock,
+            name: config.name,
+            listen: config.listen,
+            config_path: config.path,
             router,
             event_loop,
             timers: Timers::default(),
@@ -301,7 +308,11 @@
 
     fn ready(&mut self, event: Ready) {
         if event.token == SIGNALS {
-            if self.event_loop.told_to_end() {
+            let told = self.event_loop.told();
+            if told.reload {
+                self.reload();
+            }
+            if told.end {
                 self.drain();
             }
         } else if event.token == self.listener.0 {
--- a/src/net/doorman/news.rs
+++ b/src/net/doorman/news.rs
@@ -30,12 +30,33 @@
         if !self.feed.wants_dial(self.now) {
             return;
         }
-        match self.connect(self.feed.address) {
+        match self.connect(self.feed.address()) {
             Ok((token, stream)) => self.feed.dialed(token, Connection::dialing(stream, self.now)),
             Err(_) => self.feed.drop_link(self.now),
         }
     }
 
+    /// Takes up the configuration file as it is now, if it can be used; else all stays as it is.
+    pub(super) fn reload(&mut self) {
+        let new = match Config::read(self.config_path.clone()) {
+            Ok(new) => new,
+            Err(e) => return warn!(self.log, "new configuration not used"; "error" => %e),
+        };
+        let fixed = [
+            ("name", new.name == self.name),
+            ("listen", new.listen == self.listen),
+            ("settings", new.settings == self.settings),
+        ];
+        for (what, _) in fixed.iter().filter(|f| !f.1) {
+            warn!(self.log, "takes a restart to change"; "what" => what);
+        }
+        info!(self.log, "configuration read again"; "channel" => %new.channel);
+        if new.channel != self.feed.address() {
+            self.feed.move_to(new.channel);
+            self.tend_feed();
+        }
+    }
+
     pub(super) fn command(&mut self, command: Command) {
         match command {
             Command::Depots { whole, records } => self.depots(whole, records),
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -7,6 +7,8 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::io::{self, Read};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Token of the signals' pipe.
@@ -85,21 +87,37 @@
     events: Events,
     next_token: usize,
     signals: UnixStream,
+    end: Arc<AtomicBool>,
+    reload: Arc<AtomicBool>,
+}
+
+/// What signals have told since the last look.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Told {
+    /// SIGTERM or SIGINT: to end.
+    pub end: bool,
+    /// SIGHUP: to read the configuration again.
+    pub reload: bool,
 }
 
 impl EventLoop {
-    /// A loop that hears of SIGTERM and SIGINT.
+    /// A loop that hears of SIGTERM, SIGINT and SIGHUP.
     pub fn new() -> io::Result<Self> {
+        use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
         let poll = Poll::new()?;
         let (ours, theirs) = std::os::unix::net::UnixStream::pair()?;
         ours.set_nonblocking(true)?;
         theirs.set_nonblocking(true)?;
-        for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
+        let (end, reload) = (Arc::<AtomicBool>::default(), Arc::<AtomicBool>::default());
+        for (signal, flag) in [(SIGTERM, &end), (SIGINT, &end), (SIGHUP, &reload)] {
+            // In this order: what was told is there to see by the time that the pipe wakes the loop.
+            signal_hook::flag::register(signal, flag.clone())?;
             signal_hook::low_level::pipe::register(signal, theirs.try_clone()?)?;
         }
         let mut signals = UnixStream::from_std(ours);
         poll.registry().register(&mut signals, SIGNALS, Interest::READABLE)?;
-        Ok(EventLoop { poll, events: Events::with_capacity(EVENTS), next_token: FIRST_FREE, signals })
+        let events = Events::with_capacity(EVENTS);
+        Ok(EventLoop { poll, events, next_token: FIRST_FREE, signals, end, reload })
     }
 
     /// Watches a socket under a token that was never used before, so that events of a closed one can't be
@@ -125,14 +143,12 @@
         Ok(())
     }
 
-    /// Whether a signal to end has come since the last call.
-    pub fn told_to_end(&mut self) -> bool {
+    /// What signals have told since the last call.
+    pub fn told(&mut self) -> Told {
         let mut bytes = [0; 64];
-        let mut told = false;
-        while matches!(self.signals.read(&mut bytes), Ok(n) if n > 0) {
-            told = true;
-        }
-        told
+        while matches!(self.signals.read(&mut bytes), Ok(n) if n > 0) {}
+        let take = |flag: &AtomicBool| flag.swap(false, Ordering::SeqCst);
+        Told { end: take(&self.end), reload: take(&self.reload) }
     }
 }
 
--- a/src/net/feed.rs
+++ b/src/net/feed.rs
@@ -17,7 +17,7 @@
 /// The command channel as one doorman sees it.
 pub struct Feed {
     /// Where it is.
-    pub address: SocketAddr,
+    address: SocketAddr,
     cursor: u64,
     link: Option<(Token, Connection<TcpStream>)>,
     pause: Time,
@@ -30,6 +30,19 @@
         Feed { address, cursor, link: None, pause: FIRST_PAUSE, retry_at: 0 }
     }
 
+    /// Where it is.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Goes to another address with the number of the last event: the numbers continue there. The connection
+    /// to the old one is let go at once, since nothing more is told on it.
+    pub fn move_to(&mut self, address: SocketAddr) {
+        self.address = address;
+        self.link = None;
+        (self.pause, self.retry_at) = (FIRST_PAUSE, 0);
+    }
+
     /// Whether a connection should be made now.
     pub fn wants_dial(&self, now: Time) -> bool {
         self.link.is_none() && now >= self.retry_at
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -6,7 +6,7 @@
 use serde::Deserialize;
 
 /// The settings object. Keys that are not known here are skipped, absent ones take their default.
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq)]
 #[serde(rename_all = "kebab-case", default)]
 pub struct Document {
     /// How many doormans there are.
@@ -32,7 +32,7 @@
 }
 
 /// One class of requests.
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq)]
 #[serde(rename_all = "kebab-case", default)]
 pub struct ClassEntry {
     /// Its name, as clients and depots use it.
@@ -52,7 +52,7 @@
 }
 
 /// Properties of the kind of service.
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq)]
 #[serde(rename_all = "kebab-case", default)]
 #[allow(missing_docs)] // named as on the wire, where each is explained
 pub struct Domain {
@@ -74,7 +74,7 @@
 }
 
 /// Allowances of the site.
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq)]
 #[serde(rename_all = "kebab-case", default)]
 #[allow(missing_docs)] // named as on the wire, where each is explained
 pub struct Limits {
@@ -89,7 +89,7 @@
 }
 
 /// Figures of the rules.
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq)]
 #[serde(rename_all = "kebab-case", default)]
 #[allow(missing_docs)] // named as on the wire, where each is explained
 pub struct Rules {
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -2,7 +2,7 @@
 #![cfg(unix)]
 
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::TcpStream;
+use std::net::{TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, ChildStderr, Command, Stdio};
 use std::time::Duration;
@@ -14,7 +14,7 @@
     child: Child,
     log: BufReader<ChildStderr>,
     listen: String,
-    _files: Scratch,
+    files: Scratch,
 }
 
 /// A folder of its own, removed at the end.
@@ -43,17 +43,25 @@
 
 /// The example's configuration, with addresses of this test's own.
 fn config(listen: &str) -> String {
+    config_with(listen, "127.0.0.1:9")
+}
+
+fn config_with(listen: &str, channel: &str) -> String {
     let text = include_str!("../examples/config.json");
     let mut config: serde_json::Value = serde_json::from_str(text).unwrap();
     config["listen"] = listen.into();
-    config["channel"] = "127.0.0.1:9".into();
+    config["channel"] = channel.into();
     config.to_string()
 }
 
 fn start(name: &str, shell: &str) -> Program {
+    start_with(name, shell, &config("127.0.0.1:0"))
+}
+
+fn start_with(name: &str, shell: &str, config: &str) -> Program {
     let files = Scratch::new(name);
     let path = files.0.join("config.json");
-    std::fs::write(&path, config("127.0.0.1:0")).unwrap();
+    std::fs::write(&path, config).unwrap();
     let mut child = Command::new("/bin/sh")
         .args(["-c", &format!("{shell} exec \"$0\""), env!("CARGO_BIN_EXE_larchdale")])
         .env("PROXY_CONFIG", &path)
@@ -65,7 +73,7 @@
     let mut first = String::new();
     log.read_line(&mut first).unwrap();
     let listen = first.split_once("address: ").and_then(|p| p.1.split_once(',')).unwrap().0.to_owned();
-    Program { child, log, listen, _files: files }
+    Program { child, log, listen, files }
 }
 
 impl Program {
@@ -75,6 +83,22 @@
         stream
     }
 
+    fn signal(&self, signal: &str) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args([signal, &pid]).status().unwrap().success());
+    }
+
+    /// Puts another configuration in place and says so.
+    fn reconfigure(&self, config: &str) {
+        std::fs::write(self.files.0.join("config.json"), config).unwrap();
+        self.signal("-HUP");
+    }
+
+    /// Reads on in the log until a line has `text`.
+    fn logs(&mut self, text: &str) {
+        assert!(self.log.by_ref().lines().any(|l| l.unwrap().contains(text)), "never logged: {text}");
+    }
+
     fn is_ready(&self) -> bool {
         let mut client = self.connect();
         client.write_all(&[0, 0, 0, 6, 1, 0, 0, 0, 9, 0]).unwrap();
@@ -119,14 +143,49 @@
 fn sigterm_ends_it_with_0() {
     let mut program = start("sigterm", "");
     assert!(program.is_ready());
-    let pid = program.child.id().to_string();
-    assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+    program.signal("-TERM");
     assert_eq!(program.child.wait().unwrap().code(), Some(0));
     let mut rest = String::new();
     program.log.read_to_string(&mut rest).unwrap();
     assert!(rest.contains("draining") && rest.contains("leaving"), "{rest}");
 }
 
+/// A command channel's end of a doorman's connection, and the number that the doorman wrote on it.
+fn heard(channel: &TcpListener) -> (TcpStream, u64) {
+    let (mut stream, _) = channel.accept().unwrap();
+    stream.set_read_timeout(Some(HANG)).unwrap();
+    let mut cursor = [0; 8];
+    stream.read_exact(&mut cursor).unwrap();
+    (stream, u64::from_be_bytes(cursor))
+}
+
+/// Guards against SIGHUP ending the program, as it does where nobody handles it, and against a bad or half
+/// written file taking the place of one that works.
+#[test]
+fn sighup_moves_the_channel_with_its_cursor_and_a_bad_file_changes_nothing() {
+    let [first, second] = [0, 1].map(|_| TcpListener::bind("127.0.0.1:0").unwrap());
+    let with = |l: &TcpListener| config_with("127.0.0.1:0", &l.local_addr().unwrap().to_string());
+    let mut program = start_with("sighup", "", &with(&first));
+    let (mut old, cursor) = heard(&first);
+    // A purge of group 1: the channel goes on counting from it wherever it is.
+    let mut event = 19u32.to_be_bytes().to_vec();
+    event.extend((cursor + 1).to_be_bytes());
+    event.extend([4, 0, 1, 0, 0, 0, 0, 0, 0, 0, 1]);
+    old.write_all(&event).unwrap();
+    let whole = with(&second);
+    for bad in ["", &whole[..whole.len() / 2], &whole.replace("SERVING", "DANCING")] {
+        program.reconfigure(bad);
+        program.logs("new configuration not used");
+        assert!(program.is_ready());
+    }
+    program.reconfigure(&whole);
+    assert_eq!(heard(&second).1, cursor + 1);
+    assert_eq!(old.read(&mut [0]).unwrap(), 0, "the old connection is let go");
+    assert!(program.is_ready());
+    program.signal("-TERM");
+    assert_eq!(program.child.wait().unwrap().code(), Some(0));
+}
+
 #[test]
 fn running_out_of_descriptors_is_survived() {
     let program = start("descriptors", "ulimit -n 24;");
