Idle and mute clients make room, bounds follow the limits, a failed accept sets one timer

Ruled out: connections to depots (at most 7 held) and leaks of closed clients (`clients` in the figures is what is open).

Now: net/bounds.rs derives all bounds from descriptors and memory, with 24 descriptors kept back; idle clients go after 5 s (they close after 4 s themselves), the longest idle ones at once when there is no room, mute ones beyond a quarter; no whole message in 2 s: told and closed; bytes are read into a buffer on the stack.

--- /dev/null
+++ b/src/net/bounds.rs
@@ -0,0 +1,63 @@
+//! What may be held at a time: bounds that follow the limits of the configuration.
+
+use super::config::Limits;
+
+/// Descriptors kept back for what is neither a client's nor a depot's: the standard streams, the poll, the
+/// signals, the listener, the command channel, the configuration file; and a few for what comes and goes.
+const RESERVED: usize = 24;
+/// The part of the descriptors that connections to depots may take. Clients that behave hold a third at most.
+const UPSTREAM_PART: usize = 3;
+/// The part of the client connections that may be ones on which nothing whole was ever asked.
+const MUTE_PART: usize = 4;
+/// The parts of the memory that may be held for clients, read or to be written, and by bodies of requests.
+const HELD_PART: usize = 4;
+const BODIES_PART: usize = 8;
+/// Fewer than this of either kind of connection serve nobody.
+const LEAST: usize = 4;
+
+/// The bounds of one process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bounds {
+    /// Client connections; beyond, the least useful one goes.
+    pub clients: usize,
+    /// Those among them that never asked anything; beyond, the oldest goes.
+    pub mute: usize,
+    /// Connections to depots.
+    pub upstream: usize,
+    /// Bytes held for all client connections together; beyond, the one with most is let go.
+    pub held: usize,
+    /// Bytes of bodies that open requests hold together; beyond, requests are refused.
+    pub bodies: usize,
+}
+
+impl Bounds {
+    /// What these limits leave room for.
+    pub fn of(limits: &Limits) -> Self {
+        let upstream = (limits.sockets / UPSTREAM_PART).max(LEAST);
+        let clients = limits.sockets.saturating_sub(upstream + RESERVED).max(LEAST);
+        let memory = limits.memory_mb << 20;
+        Bounds {
+            clients,
+            mute: (clients / MUTE_PART).max(LEAST),
+            upstream,
+            held: memory / HELD_PART,
+            bodies: memory / BODIES_PART,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against bounds made for a large machine on a small one.
+    #[test]
+    fn bounds_follow_the_limits_and_leave_room_for_all_that_is_open() {
+        for (sockets, memory_mb) in [(256, 32), (384, 48), (1024, 192)] {
+            let bounds = Bounds::of(&Limits { sockets, memory_mb });
+            assert!(bounds.clients + bounds.upstream + RESERVED <= sockets);
+            assert!(bounds.clients - bounds.mute > sockets / 3, "clients that behave have room");
+            assert!(bounds.held + bounds.bodies < memory_mb << 19);
+        }
+    }
+}
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -18,11 +18,9 @@
 use std::io::{self, ErrorKind, Read, Write};
 
 /// Bytes read at a time.
-const CHUNK: usize = 64 * 1024;
+const CHUNK: usize = 16 * 1024;
 /// Bytes read in one turn: then others have theirs.
-const TURN: usize = 512 * 1024;
-/// An empty buffer above this is given back.
-const KEPT: usize = 64 * 1024;
+const TURN: usize = 128 * 1024;
 
 /// What carries the bytes: a socket, or in tests a script.
 pub trait Transport: Read + Write {
@@ -156,6 +154,11 @@
         self.backlog() + self.inbox.len()
     }
 
+    /// Whether a message has begun to come and is not whole.
+    pub fn is_partial(&self) -> bool {
+        !self.inbox.is_empty()
+    }
+
     /// Stops reading, so that a peer that does not read can't make us gather answers for it; or goes on.
     pub fn pause(&mut self, paused: bool) {
         self.paused = paused;
@@ -188,14 +191,14 @@
 
     fn read(&mut self, now: Time, callbacks: &mut impl Callbacks) {
         let mut left = TURN;
+        // Read here and kept only as far as it came: hundreds of connections that once asked something must
+        // not each keep a buffer for what they may ask next.
+        let mut chunk = [0; CHUNK];
         while self.has_unread() && left > 0 {
-            let from = self.inbox.len();
-            self.inbox.resize(from + CHUNK, 0);
-            let got = self.transport.read(&mut self.inbox[from..]);
-            self.inbox.truncate(from + *got.as_ref().unwrap_or(&0));
-            match got {
+            match self.transport.read(&mut chunk) {
                 Ok(0) => return self.end(Closed::Lost),
                 Ok(n) => {
+                    self.inbox.extend_from_slice(&chunk[..n]);
                     self.heard = now;
                     left = left.saturating_sub(n);
                     if callbacks.received(&mut self.inbox).is_err() {
@@ -209,7 +212,7 @@
                 Err(_) => return self.end(Closed::Lost),
             }
         }
-        if self.inbox.is_empty() && self.inbox.capacity() > KEPT {
+        if self.inbox.is_empty() {
             self.inbox = BytesMut::new();
         }
     }
--- a/src/net/doorman.rs
+++ b/src/net/doorman.rs
@@ -8,6 +8,7 @@
 mod tests;
 mod upstream;
 
+use super::bounds::Bounds;
 use super::clock::Clock;
 use super::config::Config;
 use super::connection::{Callbacks, Closed, Connection, State};
@@ -51,17 +52,15 @@
 /// Bytes that may wait for a client before no more is read from it, and below which reading goes on.
 const HIGH_WATER: usize = 1 << 20;
 const LOW_WATER: usize = 1 << 18;
-/// Bytes that may be held for all client connections together; beyond, the one with most is let go.
-const ALL_HELD: usize = 48 << 20;
-/// Bytes of bodies to be written that open requests may hold together; beyond, requests are refused.
-const ALL_BODIES: usize = 24 << 20;
 /// A client that takes none of what waits for it for so long is let go.
 const STALLED: Time = 8_000 * MS;
-/// A client connection with no open request is closed after so long; clients close theirs sooner.
-const CLIENT_IDLE: Time = 30_000 * MS;
-/// Most connections to one depot, and part of the descriptors that all of them may take.
+/// A client connection with no open request is closed after so long. Clients that mean to go on close theirs
+/// after 4 s; the others hold a descriptor for good.
+const CLIENT_IDLE: Time = 5_000 * MS;
+/// A client has so long for its first message to be whole, and for any other from its first byte on.
+const MUTE: Time = 2_000 * MS;
+/// Most connections to one depot.
 const MOST_EACH: usize = 16;
-const UPSTREAM_PART: usize = 3;
 /// Connections taken in one turn, and the pause after an accept that failed for want of descriptors.
 const ACCEPTS: usize = 64;
 const ACCEPT_PAUSE: Time = 20 * MS;
@@ -99,9 +98,20 @@
     last_stream: u32,
     open: FxHashMap<u32, Id>,
     told_leaving: bool,
+    /// Whether it has ever sent a whole message.
+    spoke: bool,
+    /// Since when a message that is not whole is awaited: from its first byte, the first one from the start.
+    awaited: Option<Time>,
     used: Time,
 }
 
+impl Client {
+    /// Whether nobody would miss it now.
+    fn is_idle(&self) -> bool {
+        self.open.is_empty() && self.conn.backlog() == 0
+    }
+}
+
 /// A request that is not over, or whose last attempt is not.
 struct Open {
     ask: Ask,
@@ -207,7 +217,10 @@
     timers: Timers<Due>,
     listener: (Token, TcpListener),
     feed: Feed,
+    bounds: Bounds,
     clients: FxHashMap<Token, Client>,
+    /// A failed accept will be tried again by a timer that is already set.
+    accept_later: bool,
     pool: Pool,
     requests: FxHashMap<Id, Open>,
     bodies: usize,
@@ -231,7 +244,7 @@
         let mut listener = TcpListener::bind(config.listen)?;
         let token = event_loop.add(&mut listener, Interest::READABLE)?;
         let router = Router::new(config.settings.for_router(), config.seed);
-        let upstream = (config.limits.sockets / UPSTREAM_PART).max(MOST_EACH);
+        let bounds = Bounds::of(&config.limits);
         let mut doorman = Doorman {
             now: clock.now(),
             log,
@@ -244,8 +257,10 @@
             timers: Timers::default(),
             listener: (token, listener),
             feed: Feed::new(config.channel, config.cursor),
+            bounds,
             clients: FxHashMap::default(),
-            pool: Pool::new(config.settings.limits.multiplex, upstream, MOST_EACH),
+            accept_later: false,
+            pool: Pool::new(config.settings.limits.multiplex, bounds.upstream, MOST_EACH),
             requests: FxHashMap::default(),
             bodies: 0,
             purges: VecDeque::new(),
@@ -343,7 +358,10 @@
                 self.report();
                 self.timers.set(self.now + FIGURES, Due::Figures);
             }
-            Due::Accept => self.accept(),
+            Due::Accept => {
+                self.accept_later = false;
+                self.accept();
+            }
             Due::DrainEnd => self.end_drain(),
         }
     }
@@ -395,21 +413,7 @@
         for token in self.pool.idle(self.now, idle - idle / 10) {
             self.lose_link(token);
         }
-        let now = self.now;
-        let over = |c: &Client| {
-            let stalled = c.conn.backlog() > 0 && now.saturating_sub(c.conn.moved) >= STALLED;
-            let idle = c.open.is_empty() && c.conn.backlog() == 0;
-            stalled || (idle && now.saturating_sub(c.used) >= CLIENT_IDLE)
-        };
-        let mut ended: Vec<Token> = self.clients.iter().filter(|c| over(c.1)).map(|c| *c.0).collect();
-        let held: usize = self.clients.values().map(|c| c.conn.held()).sum();
-        if held > ALL_HELD {
-            let most = self.clients.iter().max_by_key(|c| c.1.conn.held());
-            ended.extend(most.map(|c| *c.0));
-        }
-        for token in ended {
-            self.drop_client(token);
-        }
+        self.sweep_clients();
     }
 
     fn report(&mut self) {
--- a/src/net/doorman/clients.rs
+++ b/src/net/doorman/clients.rs
@@ -11,26 +11,90 @@
                         self.event_loop.add(&mut stream, Interest::READABLE | Interest::WRITABLE)
                     });
                     let Ok(token) = added else { continue };
-                    let conn = Connection::accepted(stream, self.now);
-                    let (open, now) = (FxHashMap::default(), self.now);
-                    let client = Client { conn, last_stream: 0, open, told_leaving: false, used: now };
+                    if !self.make_room() {
+                        continue;
+                    }
+                    let client = Client {
+                        conn: Connection::accepted(stream, self.now),
+                        last_stream: 0,
+                        open: FxHashMap::default(),
+                        told_leaving: false,
+                        spoke: false,
+                        awaited: Some(self.now),
+                        used: self.now,
+                    };
                     self.clients.insert(token, client);
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
                 Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
                 Err(e) => {
-                    // Guards against descriptors running out: no event will tell of those who still wait, so
-                    // they are looked for again, with an idle connection less.
-                    self.figures.accept_failures += 1;
                     warn!(self.log, "accept failed"; "error" => %e);
-                    if let Some(&token) = self.pool.idle(self.now, 0).first() {
-                        self.lose_link(token);
-                    }
-                    return self.timers.set(self.now + ACCEPT_PAUSE, Due::Accept);
+                    return self.accept_failed();
                 }
             }
         }
-        self.again.push(self.listener.0);
+        if !self.again.contains(&self.listener.0) {
+            self.again.push(self.listener.0);
+        }
+    }
+
+    /// Guards against descriptors running out: no event will tell of those who still wait, so they are looked
+    /// for again, with an idle connection less. One timer at a time, however often it fails: each new
+    /// connection brings an event, and one timer for each of them would leave time for nothing else.
+    pub(super) fn accept_failed(&mut self) {
+        self.figures.accept_failures += 1;
+        if let Some(&token) = self.pool.idle(self.now, 0).first() {
+            self.lose_link(token);
+        }
+        if !std::mem::replace(&mut self.accept_later, true) {
+            self.timers.set(self.now + ACCEPT_PAUSE, Due::Accept);
+        }
+    }
+
+    /// Lets the least useful connections go until there is room for one more: of those that never asked, when
+    /// they are many, the oldest; else the one that has been idle for longest. `false`: all are in use.
+    /// Guards against clients that connect by hundreds, or ask once and stay, keeping all others out, and the
+    /// command channel and the depots without a descriptor.
+    fn make_room(&mut self) -> bool {
+        let mute = |c: &Client| !c.spoke;
+        if self.clients.values().filter(|c| mute(c)).count() >= self.bounds.mute {
+            let oldest = self.clients.iter().filter(|c| mute(c.1)).min_by_key(|c| (c.1.used, *c.0));
+            if let Some(token) = oldest.map(|c| *c.0) {
+                self.drop_client(token);
+            }
+        }
+        if self.clients.len() < self.bounds.clients {
+            return true;
+        }
+        let idle = self.clients.iter().filter(|c| c.1.is_idle());
+        let Some(token) = idle.min_by_key(|c| (c.1.used, *c.0)).map(|c| *c.0) else { return false };
+        self.drop_client(token);
+        true
+    }
+
+    /// Ends what no event tells of: idle connections, messages that never get whole, readers that do not read.
+    pub(super) fn sweep_clients(&mut self) {
+        let now = self.now;
+        let since = |t: Time| now.saturating_sub(t);
+        let over = |c: &Client| {
+            let stalled = c.conn.backlog() > 0 && since(c.conn.moved) >= STALLED;
+            stalled || (c.is_idle() && since(c.used) >= CLIENT_IDLE)
+        };
+        let mut ended: Vec<Token> = self.clients.iter().filter(|c| over(c.1)).map(|c| *c.0).collect();
+        let held: usize = self.clients.values().map(|c| c.conn.held()).sum();
+        if held > self.bounds.held {
+            let most = self.clients.iter().max_by_key(|c| c.1.conn.held());
+            ended.extend(most.map(|c| *c.0));
+        }
+        for token in ended {
+            self.drop_client(token);
+        }
+        // Where answers wait to be taken, reading may have stopped here: that is not the message's fault.
+        let mute = |c: &Client| c.conn.backlog() == 0 && c.awaited.is_some_and(|t| since(t) >= MUTE);
+        let mute: Vec<Token> = self.clients.iter().filter(|c| mute(c.1)).map(|c| *c.0).collect();
+        for token in mute {
+            self.refuse_client(token, &Malformed("no whole message in time"));
+        }
     }
 
     pub(super) fn client_ready(&mut self, event: Ready) {
@@ -40,6 +104,10 @@
         client.conn.ready(self.now, event.readable, event.writable, &mut inbound);
         if inbound.heard {
             client.used = self.now;
+            client.spoke |= !inbound.messages.is_empty();
+            let partial = !client.spoke || client.conn.is_partial();
+            let since = client.awaited.filter(|_| inbound.messages.is_empty()).unwrap_or(self.now);
+            client.awaited = partial.then_some(since);
         }
         for message in inbound.messages {
             if let Err(e) = self.client_message(token, message) {
@@ -111,7 +179,7 @@
             size_kb: ask.size_kb,
         };
         let full = self.requests.len() >= self.settings.limits.max_open.max(1)
-            || self.bodies + ask.body.len() > ALL_BODIES;
+            || self.bodies + ask.body.len() > self.bounds.bodies;
         self.bodies += ask.body.len();
         let open = Open {
             ask,
--- a/src/net/doorman/news.rs
+++ b/src/net/doorman/news.rs
@@ -51,6 +51,8 @@
             warn!(self.log, "takes a restart to change"; "what" => what);
         }
         info!(self.log, "configuration read again"; "channel" => %new.channel);
+        self.bounds = Bounds::of(&new.limits);
+        self.pool.most = self.bounds.upstream;
         if new.channel != self.feed.address() {
             self.feed.move_to(new.channel);
             self.tend_feed();
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -64,6 +64,12 @@
         self.heap.pop().map(|Reverse((at, _, what))| (at, what.0))
     }
 
+    /// How many are set.
+    #[cfg(test)]
+    pub fn len(&self) -> usize {
+        self.heap.len()
+    }
+
     /// When the next one is due.
     pub fn next(&self) -> Option<Time> {
         self.heap.peek().map(|t| t.0 .0)
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -86,7 +86,8 @@
     links: FxHashMap<Token, Link<T>>,
     by_depot: FxHashMap<Id, Vec<Token>>,
     multiplex: usize,
-    most: usize,
+    /// Most connections to all depots together.
+    pub most: usize,
     most_each: usize,
 }
 
