--- a/src/net/doorman/tests.rs
+++ b/src/net/doorman/tests.rs
@@ -705,14 +705,14 @@
 #[test]
 fn failing_accepts_set_one_timer_at_a_time() {
     let mut w = World::new();
-    let before = w.doorman.timers.len();
+    let before = w.doorman.timers.count();
     for _ in 0..3 {
         w.doorman.accept_failed();
     }
-    assert_eq!(w.doorman.timers.len(), before + 1);
+    assert_eq!(w.doorman.timers.count(), before + 1);
     w.doorman.due(Due::Accept);
     w.doorman.accept_failed();
-    assert_eq!(w.doorman.timers.len(), before + 2);
+    assert_eq!(w.doorman.timers.count(), before + 2);
 }
 
 #[test]
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -66,7 +66,7 @@
 
     /// How many are set.
     #[cfg(test)]
-    pub fn len(&self) -> usize {
+    pub fn count(&self) -> usize {
         self.heap.len()
     }
 
