One broken connection is one failure of its server, however many requests it ends

The debug log shows 53 attempts ended `Reset` on 51 bad answers' connections, several at one moment.

Cause: a spoilt answer ends its connection and all that is out on it; Router::judge took each of these outcomes for a failure of its own (STEP 0.15 each, so one bad answer could eject a cache or cost it 5 trials) and added each to `failed`, which widens the accepted age. What the doorman believed of health was wrong, the sockets were not.

Now the resets that one server has at one moment count once. Ruled out: limits and retry tokens (the refused had made at most one attempt), late or unreadable lists (events were taken up after each break).

Test: one_broken_connection_counts_once_however_many_requests_it_ends.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -106,6 +106,7 @@
     loaded: Time,
     cut: Time,
     answered: Time,
+    broke: Option<Time>,
     late: f64,
 }
 
@@ -830,6 +831,9 @@
                 return;
             }
             Code::Miss | Code::NeverSent | Code::Cancelled => return,
+            // Danger: one connection that breaks ends all that is out on it. That is one failure, not one for
+            // each request: else a single bad answer would eject a server that is well.
+            Code::Reset if self.servers[attempt.server].broke.replace(self.now) == Some(self.now) => return,
             _ => self.failed += 1.0,
         }
         let role = self.servers[attempt.server].member.role;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -212,6 +212,28 @@
     assert_eq!(used.len(), 4, "{used:?}");
 }
 
+/// Guards against one bad answer ejecting a cache that is well: it ends the connection and all that is out on it.
+#[test]
+fn one_broken_connection_counts_once_however_many_requests_it_ends() {
+    let homes = |apart: Time| {
+        let mut r = router();
+        let ids: Vec<String> = (0..6).map(|n| format!("r{n}")).collect();
+        let home = sent(&ask(&mut r, T0 + S, "first", VIDEO, 5)).0;
+        finish(&mut r, T0 + S + MS, "first", 0, Code::Served);
+        for id in &ids {
+            ask(&mut r, T0 + 2 * S, id, VIDEO, 5);
+        }
+        for (n, id) in (0..).zip(&ids) {
+            finish(&mut r, T0 + 3 * S + n * apart, id, 0, Code::Reset);
+        }
+        (home, sent(&ask(&mut r, T0 + 3 * S + 100 * MS, "next", VIDEO, 5)).0)
+    };
+    let (home, next) = homes(0);
+    assert_eq!(home, next, "one break is no reason to leave a cache");
+    let (home, next) = homes(10 * MS);
+    assert_ne!(home, next, "break after break is one");
+}
+
 #[test]
 fn a_cache_that_refuses_connections_is_passed_over_and_tried_one_at_a_time() {
     let mut r = router();
