Busy depots get spare connections; an answer that stops short ends its connection

Cause: Pool::choose puts up to 32 attempts on the one open connection and dials only when it is full, while a third of the descriptors is kept for depots (21 of 384 were in use). And a part of an answer with nothing behind it was waited for until each request's patience ended (link_ready).

Now a depot whose connections are all busy gets one more, up to 8 and its share of what depots may have, dialed beside the request, which does not wait for it. A partial answer with nothing new for 300 ms ends its connection.

Tests: requests_under_way_at_one_depot_get_connections_of_their_own, an_answer_that_stops_short_ends_its_connection_soon.

--- a/src/net/doorman.rs
+++ b/src/net/doorman.rs
@@ -59,6 +59,8 @@
 const CLIENT_IDLE: Time = 5_000 * MS;
 /// A client has so long for its first message to be whole, and for any other from its first byte on.
 const MUTE: Time = 2_000 * MS;
+/// Depots write an answer in one go: one of which so long nothing more has come will not be whole.
+const STOPPED_SHORT: Time = 300 * MS;
 /// Most connections to one depot.
 const MOST_EACH: usize = 16;
 /// Connections taken in one turn, and the pause after an accept that failed for want of descriptors.
@@ -86,6 +88,8 @@
     Request(Id),
     /// A dial has had its time.
     Dial(Token),
+    /// An answer that is not whole has had its time to go on.
+    Partial(Token),
     Sweep,
     Figures,
     Accept,
@@ -353,6 +357,7 @@
             }
             Due::Request(id) => self.overdue(&id),
             Due::Dial(token) => self.dial_overdue(token),
+            Due::Partial(token) => self.partial_overdue(token),
             Due::Sweep => self.sweep(),
             Due::Figures => {
                 self.report();
--- a/src/net/doorman/tests.rs
+++ b/src/net/doorman/tests.rs
@@ -485,6 +485,39 @@
     }
 }
 
+/// Guards what shares a connection with an answer that stopped short on a connection that stays open.
+#[test]
+fn an_answer_that_stops_short_ends_its_connection_soon() {
+    let mut w = World::new();
+    let (_client, mut cache, _) = w.asked();
+    let whole = answer(&trace(1), "ok", "tag=4be0c1927d55a6f3,minted=1,note=hit", "bytes");
+    cache.put(&whole[..whole.len() / 2]);
+    w.until("half an answer", |d| d.pool.links().any(|l| l.1.conn.is_partial()).then_some(()));
+    w.skip(STOPPED_SHORT + MS);
+    w.ended(&mut cache);
+    let mut again = w.cache();
+    assert_eq!(w.command(&mut again)[0], "want");
+    assert_eq!(w.codes(), [(Code::Reset, false)]);
+}
+
+/// Guards requests that are well from sharing the end of one whose answer is bad.
+#[test]
+fn requests_under_way_at_one_depot_get_connections_of_their_own() {
+    let mut w = World::new();
+    let (mut client, mut first, _) = w.asked();
+    // The first is dialed for; the second goes out beside it while another connection is made.
+    client.put(&request(2, 2, "clip"));
+    assert_eq!(w.command(&mut first)[1], trace(2));
+    let mut second = w.cache();
+    w.until("the spare", |d| d.pool.links().all(|l| l.1.conn.is_open()).then_some(()));
+    client.put(&request(3, 3, "clip"));
+    assert_eq!(w.command(&mut second)[1], trace(3));
+    second.put(b"noise\r\n");
+    w.ended(&mut second);
+    w.until("the reset", |d| (!d.told.iter().all(|e| !matches!(e, Event::Outcome(_)))).then_some(()));
+    assert_eq!(w.codes(), [(Code::Reset, false)], "the other two go on");
+}
+
 #[test]
 fn a_client_that_breaks_the_protocol_is_told_and_closed() {
     let overlong = 262_145u32.to_be_bytes().to_vec();
--- a/src/net/doorman/upstream.rs
+++ b/src/net/doorman/upstream.rs
@@ -32,9 +32,13 @@
             return self.tell_outcome(&id, number, self.now, (Code::ConnectFailed, Note::Untold, None));
         };
         let Some(open) = self.requests.get_mut(&id) else { return };
+        let to = depot.clone();
         open.attempt = Some(Attempt { number, depot, fetch, sent: self.now, until, on, end: None });
         if matches!(choice, Choice::Use(_)) {
             self.write_want(&id);
+            if let Some(address) = self.pool.wants_spare(&to) {
+                self.dial(&to, address);
+            }
         } else if let Some(link) = self.pool.link(on) {
             link.waiting.push(id);
             link.used = self.now;
@@ -208,6 +212,19 @@
             self.lose_link(token);
         } else if link.conn.has_unread() {
             self.again.push(token);
+        } else if link.conn.is_partial() {
+            self.timers.set(self.now + STOPPED_SHORT, Due::Partial(token));
+        }
+    }
+
+    /// Guards what is out on a connection on which an answer stopped short: nothing more will come there, and
+    /// each of these requests would wait for its whole patience.
+    pub(super) fn partial_overdue(&mut self, token: Token) {
+        let Some(link) = self.pool.link(token) else { return };
+        if link.conn.is_partial() && self.now.saturating_sub(link.conn.heard) >= STOPPED_SHORT {
+            self.figures.bad_depots += 1;
+            warn!(self.log, "answer stopped short"; "depot" => %link.depot);
+            self.lose_link(token);
         }
     }
 
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -14,6 +14,9 @@
 /// machine that has vanished: others are used, or a new one is dialed.
 const SILENT: Time = 1_000_000;
 
+/// Most connections to one depot that are kept so that requests need not share one.
+const SPARE_EACH: usize = 8;
+
 /// What the list says of a depot, as far as connections go.
 #[derive(Clone, Debug)]
 pub struct Depot {
@@ -200,6 +203,18 @@
         least_silent.map_or(Choice::Full, |(t, _)| Choice::Use(t))
     }
 
+    /// Where one more connection to a depot is worth having: none of its connections is free, none is on its way,
+    /// and its share of all connections is not used up.
+    /// Guards against one bad answer, or one break, ending all that is out at a depot: what shares a connection
+    /// shares its end.
+    pub fn wants_spare(&self, depot: &str) -> Option<SocketAddr> {
+        let share = (self.most / self.depots.len().max(1)).clamp(1, SPARE_EACH.min(self.most_each));
+        let tokens = self.tokens(depot);
+        let busy = |t: &Token| self.links.get(t).is_some_and(|l| l.conn.is_open() && !l.is_idle());
+        let wanted = tokens.len() < share && !self.is_full() && tokens.iter().all(busy);
+        self.depots.get(depot).filter(|_| wanted).map(|d| d.address)
+    }
+
     /// Connections to a depot that have stayed silent. When a dial to it gets no answer either, nobody is
     /// there to answer on these.
     pub fn silent(&self, depot: &str, now: Time) -> Vec<Token> {
