A turn's messages are screened before any goes on, and what is taken back within it goes to no depot

Cause: client_ready acted on each message before it had looked at the next: a request went to a depot though its type 9 stood behind it in the same read, or though the rest of the read ended the connection.

Now Client::screen looks through all that one turn brought: an error ends the connection and nothing of it goes on; what is taken back in the same turn is taken out; more than 64 taken back beyond the answered end the connection. Figures out of range are errors.

--- a/src/net/doorman.rs
+++ b/src/net/doorman.rs
@@ -28,7 +28,7 @@
 use bytes::BytesMut;
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Token};
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use slog::{debug, info, warn, Logger};
 use std::collections::VecDeque;
 use std::io::{self, ErrorKind};
@@ -40,6 +40,10 @@
 const MS: Time = 1_000;
 /// Requests that may be open on one client connection.
 const STREAMS: usize = 32;
+/// Requests of one connection that may be taken back beyond those that are answered.
+const TAKEN_BACK: u32 = 64;
+/// No client waits longer than this many times what its class allows, and no part takes longer to send.
+const OUT_OF_RANGE: u64 = 4;
 /// Kept back of a client's patience, so that an answer at the last moment is out before it ends. Timers come up
 /// to 1 ms late. It is kept small: a client in a hurry, who waits 40 ms in all, is served in what is left.
 const MARGIN: Time = 4 * MS;
@@ -102,6 +106,8 @@
     last_stream: u32,
     open: FxHashMap<u32, Id>,
     told_leaving: bool,
+    /// Requests taken back, less those answered since.
+    taken_back: u32,
     /// Whether it has ever sent a whole message.
     spoke: bool,
     /// Since when a message that is not whole is awaited: from its first byte, the first one from the start.
--- a/src/net/doorman/clients.rs
+++ b/src/net/doorman/clients.rs
@@ -2,6 +2,72 @@
 
 use super::*;
 
+impl Client {
+    /// Looks through what one turn has brought before any of it is acted on, and takes out what was taken back
+    /// within it. An error ends the connection, and nothing of this turn goes on to anybody.
+    /// Guards the depots, and all who share them, from requests that nobody waits for or that can't be used.
+    fn screen(
+        &mut self,
+        messages: Vec<ClientMessage>,
+        settings: &Document,
+    ) -> Result<Vec<ClientMessage>, Malformed> {
+        let mut sound: Vec<ClientMessage> = Vec::with_capacity(messages.len());
+        let mut new: FxHashMap<u32, usize> = FxHashMap::default();
+        let mut left: FxHashSet<u32> = FxHashSet::default();
+        let mut open = self.open.len();
+        for message in messages {
+            match &message {
+                ClientMessage::Ready { .. } => {}
+                ClientMessage::Forget { stream } => {
+                    let begun = new.contains_key(stream) || self.open.contains_key(stream);
+                    let known = begun && left.insert(*stream);
+                    open -= usize::from(known);
+                    self.taken_back += u32::from(known);
+                    if self.taken_back > TAKEN_BACK {
+                        return Err(Malformed("requests taken back again and again"));
+                    }
+                    if let Some(at) = new.remove(stream) {
+                        // Only a mark now, so that the places of the others stay right.
+                        sound[at] = ClientMessage::Forget { stream: 0 };
+                    }
+                }
+                ClientMessage::Request { stream, ask } => {
+                    if *stream <= self.last_stream {
+                        return Err(Malformed("stream used before"));
+                    }
+                    self.last_stream = *stream;
+                    open += 1;
+                    if open > STREAMS {
+                        return Err(Malformed("too many open requests"));
+                    }
+                    fits(ask, settings)?;
+                    new.insert(*stream, sound.len());
+                }
+            }
+            sound.push(message);
+        }
+        Ok(sound)
+    }
+}
+
+/// Whether a request is one that the settings know and that its client can mean.
+fn fits(ask: &Ask, settings: &Document) -> Result<(), Malformed> {
+    let class = settings.classes.iter().find(|c| c.name == ask.route).ok_or(Malformed("unknown route"))?;
+    let longest = class.deadline_us.saturating_mul(OUT_OF_RANGE);
+    if ask.patience_ms == 0 || ask.patience_ms.saturating_mul(MS) > longest {
+        return Err(Malformed("patience out of range"));
+    }
+    // The figure goes into what is believed of the load: one that no transfer could bring in time would spoil it.
+    let sending_us = ask.size_kb / settings.domain.flow_kb_per_s * 1e6;
+    if settings.domain.flow_kb_per_s > 0.0 && sending_us > longest as f64 {
+        return Err(Malformed("size out of range"));
+    }
+    if class.semantics == "deduplicated" && ask.nonce.is_none() {
+        return Err(Malformed("a keyed request without its key"));
+    }
+    Ok(())
+}
+
 impl Doorman {
     pub(super) fn accept(&mut self) {
         for _ in 0..ACCEPTS {
@@ -20,6 +86,7 @@
                         open: FxHashMap::default(),
                         told_leaving: false,
                         spoke: false,
+                        taken_back: 0,
                         awaited: Some(self.now),
                         used: self.now,
                     };
@@ -109,23 +176,26 @@
             let since = client.awaited.filter(|_| inbound.messages.is_empty()).unwrap_or(self.now);
             client.awaited = partial.then_some(since);
         }
-        for message in inbound.messages {
-            if let Err(e) = self.client_message(token, message) {
-                return self.refuse_client(token, &e);
-            }
+        let sound = match inbound.error {
+            Some(e) => Err(e),
+            None => client.screen(inbound.messages, &self.settings),
+        };
+        let messages = match sound {
+            Ok(messages) => messages,
+            Err(e) => return self.refuse_client(token, &e),
+        };
+        for message in messages {
+            self.client_message(token, message);
             // One request after the other: each is decided on what is known after the one before it.
             self.settle();
         }
-        if let Some(e) = inbound.error {
-            self.refuse_client(token, &e);
-        }
         self.client_written(token);
     }
 
-    fn client_message(&mut self, token: Token, message: ClientMessage) -> Result<(), Malformed> {
+    fn client_message(&mut self, token: Token, message: ClientMessage) {
         let draining = self.draining.is_some();
         let ready = !draining && self.pool.depots().next().is_some();
-        let Some(client) = self.clients.get_mut(&token) else { return Ok(()) };
+        let Some(client) = self.clients.get_mut(&token) else { return };
         match message {
             ClientMessage::Ready { stream } => client.conn.queue(frames::ready(stream, ready)),
             ClientMessage::Forget { stream } => {
@@ -134,29 +204,22 @@
                 }
             }
             ClientMessage::Request { stream, ask } => {
-                if stream <= client.last_stream {
-                    return Err(Malformed("stream used before"));
-                }
-                client.last_stream = stream;
-                if client.open.len() >= STREAMS {
-                    return Err(Malformed("too many open requests"));
-                }
                 if draining && !client.told_leaving {
                     client.told_leaving = true;
                     client.conn.queue(frames::leaving());
                 }
-                self.request(token, stream, *ask)?;
+                self.request(token, stream, *ask);
             }
         }
         if let Some(client) = self.clients.get_mut(&token) {
             client.conn.flush(self.now);
         }
-        Ok(())
     }
 
-    fn request(&mut self, token: Token, stream: u32, ask: Ask) -> Result<(), Malformed> {
+    fn request(&mut self, token: Token, stream: u32, ask: Ask) {
         let class = self.settings.classes.iter().position(|c| c.name == ask.route);
-        let class = class.ok_or(Malformed("unknown route"))?;
+        invariant!(class.is_some(), "a request was screened before it is taken");
+        let Some(class) = class else { return };
         let id: Id = ask.trace.as_str().into();
         if self.requests.contains_key(&id) {
             // Guards the request that has the name already: its attempts and answers go by it. This one may be
@@ -164,12 +227,12 @@
             if let Some(client) = self.clients.get_mut(&token) {
                 client.conn.queue(frames::answer(stream, &Reply::Failed));
             }
-            return Ok(());
+            return;
         }
         self.figures.requests += 1;
         debug!(self.log, "request"; "request" => %id, "class" => class, "patience_ms" => ask.patience_ms,
                "size_kb" => ask.size_kb, "object" => %ask.entity.0, "part" => ask.nth);
-        let patience = ask.patience_ms.saturating_mul(MS).min(self.longest_wait());
+        let patience = ask.patience_ms.saturating_mul(MS);
         let budget = patience - MARGIN.min(patience / 4);
         let request = Request {
             id: id.clone(),
@@ -199,17 +262,10 @@
         }
         if full {
             let pause_ms = self.settings.limits.max_retry_after_us / MS;
-            self.answer(&id, Reply::Refused { pause_ms });
-            return Ok(());
+            return self.answer(&id, Reply::Refused { pause_ms });
         }
         self.timers.set(self.now + patience - LAST_MARGIN.min(patience / 8), Due::Request(id));
         self.events.push_back(Event::Request(request));
-        Ok(())
-    }
-
-    /// A day: no client waits longer, and sums of times stay far from overflow.
-    fn longest_wait(&self) -> Time {
-        86_400_000 * MS
     }
 
     /// Gives a request its one final answer; also ends it where its client has left.
@@ -228,6 +284,7 @@
         }
         let Some(client) = self.clients.get_mut(&token) else { return };
         let owed = client.open.remove(&stream);
+        client.taken_back = client.taken_back.saturating_sub(1);
         invariant!(owed.as_ref() == Some(id), "an answer belongs to an open stream");
         client.conn.queue(frames::answer(stream, &reply));
         client.conn.flush(self.now);
--- a/src/net/doorman/tests.rs
+++ b/src/net/doorman/tests.rs
@@ -528,7 +528,27 @@
     let nonsense = frame(77, 1, &[]);
     let unknown = request(1, 1, "no-such-class");
     let comma = request_with(1, 1, "clip", &[("nonce", "a,via=s-00000009")]);
-    for bytes in [overlong, too_many(33), reused, half, cut, nonsense, unknown, comma] {
+    let with = |from: &str, to: &str| {
+        let mut bytes = request(1, 1, "clip");
+        let at = bytes.windows(from.len()).position(|w| w == from.as_bytes()).unwrap();
+        bytes[at..at + from.len()].copy_from_slice(to.as_bytes());
+        bytes
+    };
+    let figures = [
+        with("1500", "0000"),
+        with("1500", "+150"),
+        with("1500", "99e9"),
+        with("412.5", "1e999"),
+        with("412.5", "1e300"),
+        with("412.5", "  NaN"),
+        with("412.5", "-12.5"),
+        with("7f3a9c21e0b4d655", "7F3A9C21E0B4D655"),
+        request_with(1, 1, "page", &[("got", &"a".repeat(65))]),
+        // Without its key nobody could tell a repeat of an edit from another.
+        request(1, 1, "edit"),
+    ];
+    let cases = [overlong, too_many(33), reused, half, cut, nonsense, unknown, comma];
+    for bytes in cases.into_iter().chain(figures) {
         let mut w = World::new();
         let mut client = w.client();
         client.put(&bytes);
@@ -547,6 +567,29 @@
     assert_eq!(w.doorman.figures.bad_clients, 0);
 }
 
+/// Guards the depots, and what shares their connections, from requests that nobody waits for, or whose
+/// connection is about to end: none of them is worth an attempt.
+#[test]
+fn what_is_taken_back_or_spoilt_within_one_turn_goes_to_no_depot() {
+    let mut w = World::new();
+    let (mut client, mut cache, _) = w.asked();
+    let back = |n: u32| [request(n, n, "clip"), frame(9, n, &[]), frame(9, n, &[])].concat();
+    client.put(&[back(2), request(3, 3, "clip"), back(4)].concat());
+    assert_eq!(w.command(&mut cache)[1], trace(3));
+    client.put(&[request(5, 5, "clip"), frame(77, 6, &[])].concat());
+    assert_eq!((w.frame(&mut client).1, w.doorman.figures.attempts), (0, 2));
+    w.ended(&mut client);
+    // Whoever takes back again and again is let go.
+    let mut client = w.client();
+    let again = (1..=TAKEN_BACK + 1).flat_map(|n| [request(n, 100 + n, "clip"), frame(9, n, &[])]);
+    for bytes in again {
+        client.put(&bytes);
+        w.doorman.turn().unwrap();
+    }
+    assert_eq!(w.frame(&mut client).1, 0);
+    w.ended(&mut client);
+}
+
 #[test]
 fn without_a_list_of_depots_or_on_the_way_out_it_is_not_ready() {
     let mut w = World::new();
@@ -791,7 +834,7 @@
     let most = w.doorman.bounds.bodies;
     w.doorman.bodies = most;
     let mut client = w.client();
-    client.put(&request(1, 1, "edit"));
+    client.put(&request_with(1, 1, "edit", &[("nonce", "5c0f6e1a2b3d4c59")]));
     assert_eq!(w.frame(&mut client), (8, 1, b"\x32\x01\x05pause\x00\x042000".to_vec()));
     assert_eq!(w.doorman.bodies, most);
 }
--- a/src/net/proto/frames.rs
+++ b/src/net/proto/frames.rs
@@ -3,8 +3,15 @@
 use super::{take_frame, Ask, Malformed, Reply, HEAD};
 use bytes::{Buf, BytesMut};
 
-/// A frame's length counts its type and stream, and all of a payload.
-const LENGTHS: std::ops::RangeInclusive<usize> = 5..=262_144;
+/// A frame's length counts its type and stream, and all of a payload. Clients' frames are allowed less than the
+/// protocol's 262,144: what one writes is 48,000 bytes at most, and some more for its fields.
+const LENGTHS: std::ops::RangeInclusive<usize> = 5..=MOST_BODY + 16_384;
+/// Most bytes that one request writes.
+const MOST_BODY: usize = 48_000;
+/// More parts than any object has.
+const MOST_PARTS: u64 = 65_536;
+/// Longest text that is passed on as it is.
+const LONGEST_WORD: usize = 64;
 
 const REQUEST: u8 = 7;
 const ANSWER: u8 = 8;
@@ -73,6 +80,9 @@
             return Err(Malformed("field missing"));
         }
     }
+    if rest.len() > MOST_BODY {
+        return Err(Malformed("body too large"));
+    }
     ask.body = rest.to_vec();
     Ok(ask)
 }
@@ -97,7 +107,9 @@
         "patience" => ask.patience_ms = number(value)?,
         "nonce" => ask.nonce = Some(word(value)?),
         "entity" => ask.entity = (value.to_owned(), hex(value)?),
-        "nth" => ask.nth = number(value)?,
+        "nth" => {
+            ask.nth = Some(number(value)?).filter(|&n| n < MOST_PARTS).ok_or(Malformed("no such part"))?;
+        }
         "batch" => ask.batch = u64::from(value.parse::<u8>().map_err(|_| Malformed("bad batch"))?),
         "size" => {
             let size = value.parse().map_err(|_| Malformed("bad size"))?;
@@ -111,17 +123,20 @@
 }
 
 fn number(value: &str) -> Result<u64, Malformed> {
-    value.parse().map_err(|_| Malformed("bad number"))
+    let digits = value.bytes().all(|b| b.is_ascii_digit());
+    Some(value).filter(|_| digits).unwrap_or_default().parse().map_err(|_| Malformed("bad number"))
 }
 
+/// An object goes on as text and is judged as a number: only one text may stand for each.
 fn hex(value: &str) -> Result<u64, Malformed> {
-    let digits = value.len() == 16 && value.bytes().all(|b| b.is_ascii_hexdigit());
+    let digits = value.len() == 16 && value.bytes().all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f'));
     u64::from_str_radix(value, 16).ok().filter(|_| digits).ok_or(Malformed("not 16 hex digits"))
 }
 
 /// A text that goes on into a depot's list of fields: what divides that list must not be in it.
 fn word(value: &str) -> Result<String, Malformed> {
-    let plain = !value.is_empty() && value.bytes().all(|b| b.is_ascii_graphic() && b != b',' && b != b'=');
+    let plain = (1..=LONGEST_WORD).contains(&value.len())
+        && value.bytes().all(|b| b.is_ascii_graphic() && b != b',' && b != b'=');
     if plain {
         Ok(value.to_owned())
     } else {
