Three errors and nothing else are a request's own fault: it ends, and they pass for no load

Cause: Router::judge counts every error among the failed attempts that stand for requests under way, 1.4 x 6 a second here, so that i (accepted_age) was near the whole grace and images came stale; each also took five retry tokens.

Now three errors with no other outcome between them end the request and are taken back from `failed`.

Test: a_request_that_three_servers_answer_with_an_error_is_itself_at_fault.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -35,6 +35,8 @@
 const EJECT_FOR: Time = 1_000_000;
 /// See EJECT_FOR: eight seconds at most, so that a healed server is soon found.
 const EJECT_DOUBLINGS: u32 = 3;
+/// Errors after which, where nothing else came, the request itself is what can't be used.
+const ALL_ERRORS: u32 = 3;
 /// Least rate used to share out blame, so that two servers without a record share it evenly.
 const BLAME_FLOOR: f64 = 0.02;
 /// Part of the work of parents that goes on to the origin.
@@ -147,6 +149,7 @@
     tried: Vec<usize>,
     bad_sources: Vec<usize>,
     ran: Option<(Time, usize)>,
+    errors: u32,
     over: bool,
     begun: bool,
     looked: bool,
@@ -691,6 +694,7 @@
             self.servers[attempt.server].hit_share = report.hit_share.min(1.0);
         }
         self.judge(attempt, &outcome);
+        open.errors = if outcome.code == Code::Error { open.errors + 1 } else { 0 };
         // Sending times are learned from hits: fills on crowded links would make lateness look normal.
         let hit = self.settings.detail == Detail::Silent || outcome.note == Note::Hit;
         if outcome.code == Code::Served && hit && open.request.size_kb <= 0.0 {
@@ -729,6 +733,12 @@
             Some(source) if source_fault => open.bad_sources.push(source),
             _ => open.tried.push(attempt.server),
         }
+        // Danger: what no server can use is answered with an error by all of them, and would look like requests
+        // piling up, for which all others are served older copies; and it would take their retries.
+        if open.errors >= ALL_ERRORS {
+            self.failed = (self.failed - f64::from(open.errors)).max(0.0);
+            return self.give_up(open, actions);
+        }
         let in_time = self.now as f64 + self.mean_work(open.request.class) < open.deadline as f64;
         let more = open.attempts < self.settings.max_attempts && outcome.code != Code::NeverSent;
         // Danger: when much fails at once, retries would multiply the load on what is left.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -212,6 +212,27 @@
     assert_eq!(used.len(), 4, "{used:?}");
 }
 
+/// Guards the others against requests that no server can use: each would be tried everywhere, and its errors would
+/// pass for load, for which all are served older copies.
+#[test]
+fn a_request_that_three_servers_answer_with_an_error_is_itself_at_fault() {
+    let mut r = router();
+    ask(&mut r, T0 + S, "bad", VIDEO, 5);
+    for attempt in 0..2 {
+        assert!(sends(&finish(&mut r, T0 + S + MS, "bad", attempt, Code::Error)));
+    }
+    let last = finish(&mut r, T0 + S + MS, "bad", 2, Code::Error);
+    assert!(refused(&last) && !sends(&last), "{last:?}");
+    assert_eq!(sent(&ask(&mut r, T0 + S + 2 * MS, "good", PAGE, 6)).2, 20 * S, "no older copy is accepted");
+    // Trouble on the way is another thing: it counts.
+    let mut r = router();
+    ask(&mut r, T0 + S, "a", VIDEO, 5);
+    for (attempt, code) in [(0, Code::Error), (1, Code::Reset), (2, Code::Error)] {
+        finish(&mut r, T0 + S + MS, "a", attempt, code);
+    }
+    assert!(sent(&ask(&mut r, T0 + S + 2 * MS, "good", PAGE, 6)).2 > 20 * S);
+}
+
 /// Guards against one bad answer ejecting a cache that is well: it ends the connection and all that is out on it.
 #[test]
 fn one_broken_connection_counts_once_however_many_requests_it_ends() {
