The accepted age counts requests above what chance makes of the average

Cause: i (accepted_age) is the count above its own average, floored at 0. The count of requests under way varies by chance by the root of its average, so i is positive about half of the time with nothing wrong. Now i counts from the average and its root, and weighs 2 tenths in place of 1 (the paper has 3), so that real bursts reach the whole grace as soon as before.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -8,9 +8,8 @@
 use std::collections::{BTreeMap, VecDeque};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// Tenths of the grace for each request under way above the average. The paper's 3 makes a chance cluster of
-/// three or four requests on an idle day accept the whole grace; 1 leaves that to bursts.
-const GAMMA1: f64 = 1.0;
+/// Tenths of the grace for each request under way above what chance makes of the average. The paper has 3.
+const GAMMA1: f64 = 2.0;
 /// Tenths in a whole grace: the unit in which the rule counts age.
 const TENTHS: f64 = 10.0;
 /// Microseconds over which the average of requests under way forgets: far longer than a burst.
@@ -284,7 +283,10 @@
     /// The rule of the paper, turned into the oldest copy that will do; capped by the latest purge.
     fn accepted_age(&self, request: &Request) -> Time {
         let Some(class) = self.settings.classes.get(request.class) else { return 0 };
-        let i = (f64::from(self.under_way) + self.failed - self.average).max(0.0);
+        // Danger: requests come by chance, and by chance alone their number is off by the root of its
+        // average: counted from the average itself, old copies would be served on the calmest day.
+        let usual = self.average + self.average.sqrt();
+        let i = (f64::from(self.under_way) + self.failed - usual).max(0.0);
         let tenths = (GAMMA1 * i).clamp(0.0, TENTHS);
         let grace = (class.grace as f64 * tenths / TENTHS) as Time;
         let age = class.fresh.saturating_add(if class.fresh == 0 { 0 } else { grace });
@@ -733,8 +735,8 @@
             Some(source) if source_fault => open.bad_sources.push(source),
             _ => open.tried.push(attempt.server),
         }
-        // Danger: what no server can use is answered with an error by all of them, and would look like requests
-        // piling up, for which all others are served older copies; and it would take their retries.
+        // Danger: what no server can use all answer with an error. It would look like requests piling up, for
+        // which all others are served older copies; and it would take their retries.
         if open.errors >= ALL_ERRORS {
             self.failed = (self.failed - f64::from(open.errors)).max(0.0);
             return self.give_up(open, actions);
