A parent far later than its peers keeps fewer objects; connections are let go only for need

Debug log by source: of 651 fills by way of one hub cache 350 were late, of 754 by the other none; caches and origin alike well. Also 1,018 connections to depots where 77 to 90 did before the spares.

Causes: pick_source kept an object at its first parent however late that was, since a parent is left only when it fails (the limit never falls under its fair part). And send() let an idle connection go on each attempt while the pool was full, which spares had made the usual case, only for the next attempt to dial again.

Now Router::keeper, which already has a late cache keep fewer objects, picks the parent too, from where its share is under half of its best peer's. The pool evicts only when an attempt finds no other way, and spares take half of it at most.

Tests: a_parent_that_lags_far_behind_its_peers_keeps_fewer_objects, a_full_pool_lets_an_idle_connection_go_only_for_one_that_is_needed.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -76,6 +76,9 @@
 const SHARE_STEP: f64 = 0.01;
 /// Least share kept: it goes on being asked a little, or nothing would show that it has recovered.
 const LEAST_SHARE: f64 = 0.05;
+/// Part of its best peer's share below which a parent keeps fewer objects: fills of all locations meet at an
+/// object's parent, and it is left only where that one lags far behind.
+const HOME_BELOW: f64 = 0.5;
 /// A cache keeps objects up to this many times its share of the work: less moves without need.
 const LOAD_BOUND: f64 = 1.25;
 /// Microseconds over which the work of a cache's own objects fades: as long as one object is watched.
@@ -339,7 +342,9 @@
         let share = |s: usize| (s, self.servers[s].share * self.bounded(s, order));
         let fitting = order.iter().copied().filter(|&s| fits(s));
         let shares: Vec<(usize, f64)> = fitting.map(share).collect();
-        let most = shares.iter().map(|s| s.1).fold(f64::MIN_POSITIVE, f64::max);
+        let best = shares.iter().map(|s| s.1).fold(f64::MIN_POSITIVE, f64::max);
+        let parents = order.first().is_some_and(|&s| self.servers[s].member.role == Role::Parent);
+        let most = best * if parents { HOME_BELOW } else { 1.0 };
         let keeps = |&(s, share): &(usize, f64)| {
             let hash = xxh3_64_with_seed(&item.to_le_bytes(), !self.servers[s].key);
             (s, share / most * u64::MAX as f64 / (hash as f64 + 1.0))
@@ -390,7 +395,7 @@
         let works = |s: usize| !open.bad_sources.contains(&s) && self.usable(s) && self.cold_room(s, open);
         // An object keeps the first parent that works, full or not: fills of all locations meet there, and
         // what one parent has no room for would only crowd the next.
-        let home = parents.iter().copied().find(|&s| works(s));
+        let home = self.keeper(&parents, open.request.object, works);
         home.filter(|&s| self.has_room(s)).or_else(|| self.pick_origin(open))
     }
 
--- a/src/net/doorman/tests.rs
+++ b/src/net/doorman/tests.rs
@@ -518,6 +518,26 @@
     assert_eq!(w.codes(), [(Code::Reset, false)], "the other two go on");
 }
 
+/// Guards connections that are idle now and needed soon: they go only when there is no other way to a depot.
+#[test]
+fn a_full_pool_lets_an_idle_connection_go_only_for_one_that_is_needed() {
+    let mut w = World::new();
+    w.doorman.pool.most = 1;
+    let (mut client, mut cache, _) = w.asked();
+    for number in 1..3 {
+        cache.put(&answer(&trace(number), "ok", "-", "x"));
+        w.frame(&mut client);
+        client.put(&request(number + 1, number + 1, "clip"));
+        assert_eq!(w.command(&mut cache)[1], trace(number + 1), "on the same connection");
+    }
+    cache.put(&answer(&trace(3), "ok", "-", "x"));
+    w.frame(&mut client);
+    client.put(&request_with(4, 4, "edit", &[("nonce", "5c0f6e1a2b3d4c59")]));
+    let mut origin = w.accept(|w| &w.origin);
+    assert_eq!(w.command(&mut origin)[1], trace(4));
+    w.ended(&mut cache);
+}
+
 #[test]
 fn a_client_that_breaks_the_protocol_is_told_and_closed() {
     let overlong = 262_145u32.to_be_bytes().to_vec();
--- a/src/net/doorman/upstream.rs
+++ b/src/net/doorman/upstream.rs
@@ -4,12 +4,6 @@
 
 impl Doorman {
     pub(super) fn send(&mut self, id: Id, depot: Id, until: Time, fetch: Option<Fetch>) {
-        if self.pool.is_full() {
-            // Guards against idle connections to some depots keeping others from being reached.
-            if let Some(&idle) = self.pool.idle(self.now, 0).first() {
-                self.lose_link(idle);
-            }
-        }
         let Some(open) = self.requests.get_mut(&id) else { return };
         let number = open.attempts;
         open.attempts += 1;
@@ -22,7 +16,15 @@
         }
         self.figures.attempts += 1;
         self.timers.set(until, Due::Attempt(id.clone(), number));
-        let choice = self.pool.choose(&depot, self.now, &open.spent);
+        let mut choice = self.pool.choose(&depot, self.now, &open.spent);
+        if choice == Choice::Full && self.pool.is_full() {
+            // Guards against idle connections to some depots keeping others from being reached.
+            if let Some(&idle) = self.pool.idle(self.now, 0).first() {
+                self.lose_link(idle);
+                let Some(open) = self.requests.get(&id) else { return };
+                choice = self.pool.choose(&depot, self.now, &open.spent);
+            }
+        }
         let on = match choice {
             Choice::Use(token) | Choice::Wait(token) => Some(token),
             Choice::Dial(address) => self.dial(&depot, address),
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -208,10 +208,12 @@
     /// Guards against one bad answer, or one break, ending all that is out at a depot: what shares a connection
     /// shares its end.
     pub fn wants_spare(&self, depot: &str) -> Option<SocketAddr> {
-        let share = (self.most / self.depots.len().max(1)).clamp(1, SPARE_EACH.min(self.most_each));
+        // Half of all are left for depots that come and for those whose own are all full.
+        let share = (self.most / 2 / self.depots.len().max(1)).clamp(1, SPARE_EACH.min(self.most_each));
         let tokens = self.tokens(depot);
         let busy = |t: &Token| self.links.get(t).is_some_and(|l| l.conn.is_open() && !l.is_idle());
-        let wanted = tokens.len() < share && !self.is_full() && tokens.iter().all(busy);
+        let room = self.links.len() < self.most / 2;
+        let wanted = tokens.len() < share && room && tokens.iter().all(busy);
         self.depots.get(depot).filter(|_| wanted).map(|d| d.address)
     }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -233,6 +233,33 @@
     assert!(sent(&ask(&mut r, T0 + S + 2 * MS, "good", PAGE, 6)).2 > 20 * S);
 }
 
+/// Guards against a hub cache that has become slow holding on to its third of all fills while its peers are well.
+/// Where all are slow alike, each object stays where its fills meet.
+#[test]
+fn a_parent_that_lags_far_behind_its_peers_keeps_fewer_objects() {
+    let at_parent_0 = |slow: fn(&str) -> bool| {
+        let mut r = router_with(Settings { detail: Detail::Hits, ..settings() }, fleet());
+        let (mut early, mut late) = (0, 0);
+        for n in 0..600 {
+            let (now, id) = (T0 + S + n * 100 * MS, format!("r{n}"));
+            let actions = ask(&mut r, now, &id, PAGE, n % 60);
+            if !sends(&actions) {
+                continue;
+            }
+            let source = sent(&actions).1;
+            *if n < 60 { &mut early } else { &mut late } += u32::from(n % 300 < 60 && source == "parent-0");
+            let took = if slow(&source) { 2 * S } else { 20 * MS };
+            let outcome = Outcome { note: Note::Filled, took, ..end(&id, 0, Code::Served) };
+            tell(&mut r, now + 50 * MS, Event::Outcome(outcome));
+        }
+        (early, late)
+    };
+    let (early, late) = at_parent_0(|s| s == "parent-0");
+    assert!(early > 10 && late < early / 2, "asked {early} times at first, {late} later");
+    let (early, late) = at_parent_0(|_| true);
+    assert!(early > 10 && late >= early / 2, "asked {early} times at first, {late} later");
+}
+
 /// Guards against one bad answer ejecting a cache that is well: it ends the connection and all that is out on it.
 #[test]
 fn one_broken_connection_counts_once_however_many_requests_it_ends() {
