Connections that rested as long as ones that broke stale are not used again

The debug log (now with a line per broken connection): each had rested at least 140 ms, none that had rested less broke.

Cause: idle connections are dropped there long before the 15 s of the settings, with nothing said; Pool::choose went on using them, the longest rested as readily as the freshest, and each break is an attempt that may have run, a mark against a well server and a step up in the accepted age.

Of free connections the one used last is taken.

Tests: a_rest_after_which_connections_break_is_not_waited_for_again, a_break_at_once_after_a_rest_teaches_how_long_connections_last.

--- a/src/net/doorman.rs
+++ b/src/net/doorman.rs
@@ -255,6 +255,8 @@
         let token = event_loop.add(&mut listener, Interest::READABLE)?;
         let router = Router::new(config.settings.for_router(), config.seed);
         let bounds = Bounds::of(&config.limits);
+        // Somewhat before the depots close it: a want must not cross their close.
+        let longest_rest = config.settings.limits.conn_idle_us / 10 * 9;
         let mut doorman = Doorman {
             now: clock.now(),
             log,
@@ -270,7 +272,7 @@
             bounds,
             clients: FxHashMap::default(),
             accept_later: false,
-            pool: Pool::new(config.settings.limits.multiplex, bounds.upstream, MOST_EACH),
+            pool: Pool::new(config.settings.limits.multiplex, bounds.upstream, MOST_EACH, longest_rest),
             requests: FxHashMap::default(),
             bodies: 0,
             purges: VecDeque::new(),
@@ -419,9 +421,7 @@
         while self.purges.front().is_some_and(|p| self.now.saturating_sub(p.0) > PURGES_KEPT) {
             self.purges.pop_front();
         }
-        // Somewhat before the depots do it: a want must not cross their close.
-        let idle = self.settings.limits.conn_idle_us;
-        for token in self.pool.idle(self.now, idle - idle / 10) {
+        for token in self.pool.rested(self.now) {
             self.lose_link(token);
         }
         self.sweep_clients();
--- a/src/net/doorman/tests.rs
+++ b/src/net/doorman/tests.rs
@@ -518,6 +518,41 @@
     assert_eq!(w.codes(), [(Code::Reset, false)], "the other two go on");
 }
 
+/// Guards attempts from connections that were dropped while they rested, sooner than the settings say: the break
+/// shows only under the next request, which may have run.
+#[test]
+fn a_rest_after_which_connections_break_is_not_waited_for_again() {
+    let mut w = World::new();
+    w.doorman.pool.most = 2; // no spares: each connection that comes is one that was needed
+    let (mut client, mut cache, _) = w.asked();
+    cache.put(&answer(&trace(1), "ok", "-", "x"));
+    w.frame(&mut client);
+    w.skip(2_000 * MS);
+    client.put(&request(2, 2, "clip"));
+    assert_eq!(w.command(&mut cache)[1], trace(2), "nothing is known against it yet");
+    drop(cache);
+    let mut cache = w.cache();
+    assert_eq!(w.command(&mut cache)[1], trace(2));
+    // However slow the machine that runs this test: it was at once.
+    w.doorman.pool.learn(1_500 * MS);
+    cache.put(&answer(&trace(2), "ok", "-", "x"));
+    w.frame(&mut client);
+    w.skip(1_800 * MS);
+    w.ended(&mut cache);
+    client.put(&request(3, 3, "clip"));
+    let mut cache = w.cache();
+    assert_eq!(w.command(&mut cache)[1], trace(3), "on a connection of its own");
+    // What was learned wears off.
+    for _ in 0..2_000 {
+        w.doorman.pool.rested(w.doorman.now);
+    }
+    cache.put(&answer(&trace(3), "ok", "-", "x"));
+    w.frame(&mut client);
+    w.skip(1_800 * MS);
+    client.put(&request(4, 4, "clip"));
+    assert_eq!(w.command(&mut cache)[1], trace(4));
+}
+
 /// Guards connections that are idle now and needed soon: they go only when there is no other way to a depot.
 #[test]
 fn a_full_pool_lets_an_idle_connection_go_only_for_one_that_is_needed() {
@@ -622,7 +657,7 @@
     client.put(&ask);
     assert_eq!(w.frame(&mut client), (2, 0, vec![50, 0]));
     let mut w = World::new();
-    w.doorman.pool = Pool::new(32, 8, 8);
+    w.doorman.pool = Pool::new(32, 8, 8, 13_500_000);
     let mut client = w.client();
     client.put(&ask);
     assert_eq!(w.frame(&mut client), (2, 0, vec![50, 0]));
--- a/src/net/doorman/upstream.rs
+++ b/src/net/doorman/upstream.rs
@@ -78,9 +78,7 @@
         };
         link.conn.queue(bytes);
         link.conn.flush(self.now);
-        link.out.insert(id.clone(), number);
-        link.asked.get_or_insert(self.now);
-        link.used = self.now;
+        link.ask(id.clone(), number, self.now);
         let (end, closed) = (link.conn.queued(), !link.conn.is_open());
         if let Some(attempt) = self.requests.get_mut(id).and_then(|o| o.attempt.as_mut()) {
             attempt.end = Some(end);
@@ -271,6 +269,12 @@
         let Some(mut link) = self.pool.remove(token) else { return };
         match link.conn.state() {
             State::Dialing | State::Closed(Closed::NeverOpened) => self.figures.dials_failed += 1,
+            State::Closed(Closed::Lost) if !link.out.is_empty() => {
+                self.figures.lost += 1;
+                self.pool.broke(&link, self.now);
+                debug!(self.log, "connection broke"; "depot" => %link.depot, "rested_us" => link.rested,
+                       "out" => link.out.len());
+            }
             _ => self.figures.lost += u64::from(!link.is_idle()),
         }
         link.conn.close();
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -17,6 +17,11 @@
 /// Most connections to one depot that are kept so that requests need not share one.
 const SPARE_EACH: usize = 8;
 
+/// A break this soon after a request, on a connection that had rested, shows that it had gone stale meanwhile.
+const STALE_BREAK: Time = 50_000;
+/// Connections are not taken for stale sooner than this: below it a dial costs more than it saves.
+const LEAST_REST: Time = 50_000;
+
 /// What the list says of a depot, as far as connections go.
 #[derive(Clone, Debug)]
 pub struct Depot {
@@ -44,13 +49,15 @@
     pub asked: Option<Time>,
     /// When bytes last went one way or the other.
     pub used: Time,
+    /// How long nothing had been asked on it before what is out now was.
+    pub rested: Time,
 }
 
 impl<T: super::connection::Transport> Link<T> {
     /// A new one.
     pub fn new(conn: Connection<T>, depot: Id, now: Time) -> Self {
         let (out, waiting) = (FxHashMap::default(), Vec::new());
-        Link { conn, depot, dialed: now, out, waiting, asked: None, used: now }
+        Link { conn, depot, dialed: now, out, waiting, asked: None, used: now, rested: 0 }
     }
 
     /// Whether what was asked on it has met with silence.
@@ -58,6 +65,16 @@
         self.asked.is_some_and(|t| now.saturating_sub(t) >= SILENT)
     }
 
+    /// Notes that an attempt is written to it.
+    pub fn ask(&mut self, id: Id, number: u32, now: Time) {
+        if self.out.is_empty() {
+            self.rested = now.saturating_sub(self.used);
+        }
+        self.out.insert(id, number);
+        self.asked.get_or_insert(now);
+        self.used = now;
+    }
+
     /// Notes that bytes have come.
     pub fn heard(&mut self, now: Time) {
         self.used = now;
@@ -92,11 +109,14 @@
     /// Most connections to all depots together.
     pub most: usize,
     most_each: usize,
+    /// Connections that rested for so long are not used again.
+    stale_after: Time,
+    longest_rest: Time,
 }
 
 impl<T: super::connection::Transport> Pool<T> {
     /// At most `most` connections, `most_each` to one depot, each with `multiplex` attempts.
-    pub fn new(multiplex: usize, most: usize, most_each: usize) -> Self {
+    pub fn new(multiplex: usize, most: usize, most_each: usize, longest_rest: Time) -> Self {
         Pool {
             depots: FxHashMap::default(),
             links: FxHashMap::default(),
@@ -104,6 +124,8 @@
             multiplex,
             most,
             most_each,
+            stale_after: longest_rest,
+            longest_rest,
         }
     }
 
@@ -186,8 +208,11 @@
         let links = || self.tokens(depot).iter().filter_map(|t| Some((*t, self.links.get(t)?)));
         // Purges and drains bind at what is written: nothing is put behind bytes that wait to be written.
         let fits = |l: &Link<T>| l.conn.is_open() && l.out.len() < self.multiplex && l.conn.backlog() == 0;
-        let usable = || links().filter(|(t, l)| fits(l) && !spent.contains(t));
-        let awake = usable().filter(|(_, l)| !l.is_silent(now)).min_by_key(|(t, l)| (l.out.len(), *t));
+        let stale = |l: &Link<T>| l.is_idle() && now.saturating_sub(l.used) >= self.stale_after;
+        let usable = || links().filter(|(t, l)| fits(l) && !stale(l) && !spent.contains(t));
+        // Of those that are free, the one used last: it is the least likely to have gone stale.
+        let rank = |t: Token, l: &Link<T>| (l.out.len(), std::cmp::Reverse(l.used), t);
+        let awake = usable().filter(|(_, l)| !l.is_silent(now)).min_by_key(|(t, l)| rank(*t, l));
         if let Some((token, _)) = awake {
             return Choice::Use(token);
         }
@@ -224,6 +249,27 @@
         self.tokens(depot).iter().filter(silent).copied().collect()
     }
 
+    /// Learns from a connection that broke under what was out on it.
+    /// Guards against depots, or what stands between, dropping idle connections sooner than the settings say: each
+    /// such break costs an attempt that may have run.
+    pub fn broke(&mut self, link: &Link<T>, now: Time) {
+        let soon = link.asked.is_some_and(|t| now.saturating_sub(t) < STALE_BREAK);
+        if soon && link.rested >= LEAST_REST {
+            self.learn(link.rested * 3 / 4);
+        }
+    }
+
+    pub(super) fn learn(&mut self, rest: Time) {
+        self.stale_after = self.stale_after.min(rest).max(LEAST_REST);
+    }
+
+    /// Connections to end now: those that have rested for too long. What was learned of that wears off, half of
+    /// it in about a minute where this is called four times a second.
+    pub fn rested(&mut self, now: Time) -> Vec<Token> {
+        self.stale_after = (self.stale_after + self.stale_after / 300).min(self.longest_rest);
+        self.idle(now, self.stale_after)
+    }
+
     /// Connections that nothing needs: idle for `limit`, or at once where the depot is gone.
     pub fn idle(&self, now: Time, limit: Time) -> Vec<Token> {
         let gone = |l: &Link<T>| !self.depots.contains_key(&l.depot);
--- a/src/net/pool/tests.rs
+++ b/src/net/pool/tests.rs
@@ -60,7 +60,7 @@
 }
 
 fn check(steps: Vec<Step>) {
-    let mut pool: Pool<Script> = Pool::new(MULTIPLEX, MOST, EACH);
+    let mut pool: Pool<Script> = Pool::new(MULTIPLEX, MOST, EACH, 13_500_000);
     for depot in 0..2 {
         pool.list(&name(depot), listed(0));
     }
@@ -80,8 +80,7 @@
                         assert!(!spent.contains(&token), "on a connection that is spent");
                         assert!(link.out.len() < MULTIPLEX && link.depot == depot);
                         let silent = link.is_silent(now);
-                        link.out.insert(id, 0);
-                        link.asked.get_or_insert(now);
+                        link.ask(id, 0, now);
                         let others = pool.tokens(&depot).len();
                         assert!(!silent || others == EACH || pool.is_full(), "silent, with room for a dial");
                         last = Some(token);
@@ -158,3 +157,21 @@
         check(steps);
     }
 }
+
+/// Guards against taking any break for a stale connection: only one that comes at once, after a rest, shows it.
+#[test]
+fn a_break_at_once_after_a_rest_teaches_how_long_connections_last() {
+    const S: Time = 1_000_000;
+    for (rest, after, learned) in [
+        (2 * S, STALE_BREAK / 2, 3 * S / 2),
+        (2 * S, 2 * STALE_BREAK, 13 * S),
+        (LEAST_REST / 2, 0, 13 * S),
+        (LEAST_REST, 0, LEAST_REST),
+    ] {
+        let mut pool: Pool<Script> = Pool::new(MULTIPLEX, MOST, EACH, 13 * S);
+        let mut link = Link::new(Connection::accepted(Script::default(), S), name(0), S);
+        link.ask("a".into(), 0, S + rest);
+        pool.broke(&link, S + rest + after);
+        assert_eq!(pool.stale_after, learned, "rested {rest}, broke after {after}");
+    }
+}
