One list of depots out of any source: src/membership, and the command channel through it

Need: a registry, and later a file, are to give the list beside the command channel, and what a change means was decided in the pool and in news.rs. Change: src/membership is a core that decides who takes work, from which moment nothing may be written, which process stands behind an id, whose an address is and which connections go. The pool keeps addresses and connections only. The adapter reads an event's kind by itself: starlark asks serde_json for arbitrary precision, and figures kept in serde's buffer for tagged enums are lost with that.

--- a/src/bin/larchdale-wirehost.rs
+++ b/src/bin/larchdale-wirehost.rs
@@ -5,19 +5,33 @@
 use larchdale::settings::Document;
 use larchdale::Router;
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+use std::borrow::Cow;
 use std::collections::BTreeMap;
 use std::io::{BufRead, Write};
 use std::sync::Arc;
 
 #[derive(Deserialize)]
-struct Batch {
+struct Batch<'a> {
     #[serde(rename = "ts-us")]
     now: u64,
-    input: Vec<WireEvent>,
+    #[serde(borrow)]
+    input: Vec<&'a RawValue>,
 }
 
+/// What kind of event a line's part is.
 #[derive(Deserialize)]
-#[serde(tag = "verb", rename_all_fields = "kebab-case")]
+struct Verb<'a> {
+    #[serde(borrow)]
+    verb: Cow<'a, str>,
+}
+
+/// The kinds that are known; others are skipped.
+const VERBS: [&str; 9] =
+    ["ATTACH", "KILLED", "UPDATE", "ORDER", "COMPLETED", "ESTABLISHED", "HANGUP", "PURGED", "BELL"];
+
+#[derive(Deserialize)]
+#[serde(rename_all_fields = "kebab-case")]
 enum WireEvent {
     #[serde(rename = "ATTACH")]
     Attach {
@@ -84,8 +98,17 @@
     },
     #[serde(rename = "BELL")]
     Bell { router_id: u64, r#ref: u64 },
-    #[serde(other)]
-    Other,
+}
+
+/// Reads one event, unless its kind is not known.
+/// Guards figures: where the kind stood among the fields, serde would keep the rest in a buffer on the way, and
+/// that loses numbers with a point as soon as any library of the build asks serde_json for arbitrary precision.
+fn wire_event(raw: &RawValue) -> Result<Option<WireEvent>, String> {
+    let Verb { verb } = serde_json::from_str(raw.get()).map_err(|e| e.to_string())?;
+    if !VERBS.contains(&&*verb) {
+        return Ok(None);
+    }
+    serde_json::from_str(&format!("{{\"{verb}\":{raw}}}")).map(Some).map_err(|e| e.to_string())
 }
 
 #[derive(Deserialize)]
@@ -273,7 +296,7 @@
             },
         ),
         WireEvent::Bell { router_id, r#ref } => (router_id, Event::Timer { token: r#ref }),
-        WireEvent::Attach { .. } | WireEvent::Killed { .. } | WireEvent::Other => return Ok(None),
+        WireEvent::Attach { .. } | WireEvent::Killed { .. } => return Ok(None),
     }))
 }
 
@@ -312,7 +335,8 @@
     let batch: Batch = serde_json::from_str(line).map_err(|e| e.to_string())?;
     let mut out = Vec::new();
     let mut actions = Vec::new();
-    for wire in batch.input {
+    for raw in batch.input {
+        let Some(wire) = wire_event(raw)? else { continue };
         match wire {
             WireEvent::Attach { router_id, rng_seed, settings } => {
                 let router = Router::new(settings.for_router(), rng_seed);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,12 +3,13 @@
 //! Build a [`Router`] from [`interface::Settings`] and a seed, then hand it the time and one
 //! [`interface::Event`] after another; it appends the [`interface::Action`]s to carry out.
 //! It has no clock, no input or output, no threads and no shared state. Round it, [`net`] is the real doorman
-//! on sockets; [`settings`] reads the operators' settings for both programs.
+//! on sockets; [`membership`] is the one list of depots out of any source; [`settings`] reads the operators' settings for both programs.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
 pub mod interface;
 mod logic;
+pub mod membership;
 pub mod net;
 pub mod settings;
 
--- a/src/net/doorman.rs
+++ b/src/net/doorman.rs
@@ -14,15 +14,14 @@
 use super::connection::{Callbacks, Closed, Connection, State};
 use super::event_loop::{EventLoop, Ready, Timers, SIGNALS};
 use super::feed::Feed;
-use super::pool::{Choice, Depot, Link, Pool};
+use super::pool::{Choice, Link, Pool};
 use super::proto::command_channel::{self, Command, Purge, Record};
 use super::proto::frames::{self, ClientMessage};
 use super::proto::resp::{self, Answer, Word};
 use super::proto::{Ask, Malformed, Reply};
-use crate::interface::{
-    Action, Code, Event, Fetch, Id, Listed, Member, Note, Outcome, Report, Request, Time,
-};
+use crate::interface::{Action, Code, Event, Fetch, Id, Listed, Note, Outcome, Report, Request, Time};
 use crate::invariant;
+use crate::membership::{Connections, Entry, Membership};
 use crate::settings::Document;
 use crate::Router;
 use bytes::BytesMut;
@@ -78,6 +77,8 @@
 const DRAIN_SPARE: Time = 400 * MS;
 /// What the last answers of a drain have to reach their clients.
 const DRAIN_FLUSH: Time = 200 * MS;
+/// Most depots that the list may hold.
+const MOST_DEPOTS: usize = 65_536;
 /// Purges are remembered for as long as an attempt can wait to be written, and longer.
 const PURGES_KEPT: Time = 5_000 * MS;
 
@@ -231,6 +232,7 @@
     clients: FxHashMap<Token, Client>,
     /// A failed accept will be tried again by a timer that is already set.
     accept_later: bool,
+    membership: Membership,
     pool: Pool,
     requests: FxHashMap<Id, Open>,
     bodies: usize,
@@ -272,6 +274,7 @@
             bounds,
             clients: FxHashMap::default(),
             accept_later: false,
+            membership: Membership::new(MOST_DEPOTS),
             pool: Pool::new(config.settings.limits.multiplex, bounds.upstream, MOST_EACH, longest_rest),
             requests: FxHashMap::default(),
             bodies: 0,
--- a/src/net/doorman/clients.rs
+++ b/src/net/doorman/clients.rs
@@ -194,7 +194,7 @@
 
     fn client_message(&mut self, token: Token, message: ClientMessage) {
         let draining = self.draining.is_some();
-        let ready = !draining && self.pool.depots().next().is_some();
+        let ready = !draining && self.pool.is_listed();
         let Some(client) = self.clients.get_mut(&token) else { return };
         match message {
             ClientMessage::Ready { stream } => client.conn.queue(frames::ready(stream, ready)),
--- a/src/net/doorman/news.rs
+++ b/src/net/doorman/news.rs
@@ -74,43 +74,64 @@
         }
     }
 
+    /// What the command channel lists, for the one list of depots.
     pub(super) fn depots(&mut self, whole: bool, records: Vec<Record>) {
-        if whole {
-            let named = |id: &Id| records.iter().any(|r| *r.id == **id);
-            let gone: Vec<Id> = self.pool.depots().filter(|id| !named(id)).cloned().collect();
-            gone.iter().for_each(|id| self.pool.unlist(id));
+        let now = self.now;
+        let entries = records.into_iter().map(|r| self.entry(r));
+        let taken = if whole {
+            let entries = entries.collect();
+            self.membership.whole(now, entries)
+        } else {
+            let entries: Vec<Entry> = entries.collect();
+            entries.into_iter().try_for_each(|e| self.membership.put(now, e))
+        };
+        if let Err(e) = taken {
+            warn!(self.log, "list of depots not taken"; "why" => %e);
         }
-        let mut members = Vec::with_capacity(records.len());
-        for record in records {
-            let member = self.member(&record);
-            if member.listed == Listed::Gone {
-                self.pool.unlist(&member.id);
-            } else {
-                let (address, listed, started) = (record.address, member.listed, member.started);
-                // Guards against asking a process that is no more: connections to it may look open.
-                for old in self.pool.list(&member.id, Depot { address, listed, started }) {
-                    self.lose_link(old);
+        self.tell_members(usize::MAX);
+    }
+
+    /// Carries up to `most` changes of the list on to the pool and the module.
+    pub(super) fn tell_members(&mut self, most: usize) {
+        let mut changes = Vec::new();
+        self.membership.take(most, &mut changes);
+        if changes.is_empty() {
+            return;
+        }
+        let mut members = Vec::with_capacity(changes.len());
+        for change in changes {
+            let id = &change.member.id;
+            match change.connections {
+                Connections::End => self.pool.unlist(id),
+                Connections::Keep => self.pool.list(id, change.address),
+                Connections::ReplaceBefore(moment) => {
+                    self.pool.list(id, change.address);
+                    for old in self.pool.dialed_before(id, moment) {
+                        self.lose_link(old);
+                    }
                 }
             }
-            members.push(member);
+            members.push(change.member);
         }
-        self.events.push_back(Event::Members { complete: whole, members });
+        self.events.push_back(Event::Members { complete: false, members });
     }
 
-    fn member(&self, record: &Record) -> Member {
-        Member {
+    fn entry(&self, record: Record) -> Entry {
+        Entry {
             id: record.id.as_str().into(),
-            role: self.settings.role(record.kind as i64),
+            address: record.address,
             listed: match record.state {
                 command_channel::State::Ready => Listed::Healthy,
                 command_channel::State::Draining => Listed::Draining,
                 command_channel::State::Gone => Listed::Gone,
             },
+            role: self.settings.role(record.kind as i64),
             zone: record.zone,
             cell: record.cell,
             kind: record.kind as u32,
             weight: record.weight,
             started: self.clock.of_unix_ms(record.started_ms),
+            process: 0,
         }
     }
 }
--- a/src/net/doorman/tests.rs
+++ b/src/net/doorman/tests.rs
@@ -112,6 +112,16 @@
         self.doorman.turn().unwrap();
     }
 
+    /// Lists the cache anew, with a change.
+    fn relist(&mut self, change: impl FnOnce(&mut Entry)) {
+        let d = &mut self.doorman;
+        let mut entry = d.membership.entry(CACHE).unwrap().clone();
+        change(&mut entry);
+        d.membership.put(d.now, entry).unwrap();
+        d.tell_members(usize::MAX);
+        d.settle();
+    }
+
     fn client(&mut self) -> Peer {
         let address = self.doorman.listener.1.local_addr().unwrap();
         Peer::new(StdStream::connect(address).unwrap())
@@ -297,7 +307,7 @@
     let nowhere = StdListener::bind("127.0.0.1:0").unwrap();
     w.cache = nowhere.try_clone().unwrap();
     let address = nowhere.local_addr().unwrap();
-    w.doorman.pool.list(&CACHE.into(), Depot { address, listed: Listed::Healthy, started: 0 });
+    w.relist(|e| e.address = address);
     drop(std::mem::replace(&mut w.cache, StdListener::bind("127.0.0.1:0").unwrap()));
     drop(nowhere);
     let mut client = w.client();
@@ -391,8 +401,8 @@
         d.command(Command::Purge { what, when_ms: 1 });
     };
     let drain = |d: &mut Doorman| {
-        let depot = d.pool.depot(CACHE).unwrap().clone();
-        d.pool.list(&CACHE.into(), Depot { listed: Listed::Draining, ..depot });
+        let entry = d.membership.entry(CACHE).unwrap().clone();
+        d.membership.put(d.now, Entry { listed: Listed::Draining, ..entry }).unwrap();
     };
     for change in [purge as fn(&mut Doorman), drain] {
         let mut w = World::new();
@@ -446,10 +456,9 @@
     let (mut client, mut old, _) = w.asked();
     old.put(&answer(&trace(1), "ok", "-", "x"));
     w.frame(&mut client);
-    let depot = w.doorman.pool.depot(CACHE).unwrap().clone();
     let record = Record {
         id: CACHE.to_owned(),
-        address: depot.address,
+        address: w.doorman.membership.entry(CACHE).unwrap().address,
         state: command_channel::State::Ready,
         zone: 0,
         kind: 0,
@@ -461,9 +470,7 @@
     w.doorman.settle();
     assert_eq!(w.doorman.pool.len(), 1, "the same news again changes nothing");
     let started = w.doorman.now + MS;
-    for token in w.doorman.pool.list(&CACHE.into(), Depot { started, ..depot }) {
-        w.doorman.lose_link(token);
-    }
+    w.relist(|e| e.started = started);
     w.ended(&mut old);
     client.put(&request(2, 2, "clip"));
     let mut fresh = w.cache();
--- a/src/net/doorman/upstream.rs
+++ b/src/net/doorman/upstream.rs
@@ -50,7 +50,7 @@
     /// Whether an attempt that had to wait may still be written as it was decided.
     /// Guards the rules on drains and purges, which bind at what is written: both may have changed meanwhile.
     fn still_fits(&self, open: &Open, attempt: &Attempt) -> bool {
-        let serves = |id: &str| self.pool.depot(id).is_some_and(|d| d.listed == Listed::Healthy);
+        let serves = |id: &str| self.membership.takes_work(id);
         let source = attempt.fetch.as_ref().is_none_or(|f| serves(&f.source));
         let voids = |what: Purge| match what {
             Purge::Object(object) => object == open.ask.entity.1,
@@ -63,7 +63,8 @@
     pub(super) fn write_want(&mut self, id: &Id) {
         let Some(open) = self.requests.get(id) else { return };
         let Some(attempt) = open.attempt.as_ref() else { return };
-        let (token, waited) = (attempt.on, self.now > attempt.sent);
+        // The list may be ahead of what the module has been told of it.
+        let (token, waited) = (attempt.on, self.now > attempt.sent || self.membership.has_changes());
         if waited && !self.still_fits(open, attempt) {
             self.figures.dropped += 1;
             return self.end_attempt(id, (Code::NeverSent, Note::Untold, None));
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -10,7 +10,7 @@
 pub mod pool;
 pub mod proto;
 #[cfg(test)]
-mod testing;
+pub(crate) mod testing;
 
 use std::sync::atomic::AtomicU64;
 
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -4,7 +4,7 @@
 mod tests;
 
 use super::connection::Connection;
-use crate::interface::{Id, Listed, Time};
+use crate::interface::{Id, Time};
 use mio::net::TcpStream;
 use mio::Token;
 use rustc_hash::FxHashMap;
@@ -22,17 +22,6 @@
 /// Connections are not taken for stale sooner than this: below it a dial costs more than it saves.
 const LEAST_REST: Time = 50_000;
 
-/// What the list says of a depot, as far as connections go.
-#[derive(Clone, Debug)]
-pub struct Depot {
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// Whether it takes new work.
-    pub listed: Listed,
-    /// When it last started; 0: long ago.
-    pub started: Time,
-}
-
 /// One connection to a depot, with what was asked on it.
 pub struct Link<T = TcpStream> {
     /// The connection.
@@ -102,7 +91,8 @@
 
 /// All connections to depots.
 pub struct Pool<T = TcpStream> {
-    depots: FxHashMap<Id, Depot>,
+    /// Where each depot listens that may be asked.
+    depots: FxHashMap<Id, SocketAddr>,
     links: FxHashMap<Token, Link<T>>,
     by_depot: FxHashMap<Id, Vec<Token>>,
     multiplex: usize,
@@ -129,23 +119,19 @@
         }
     }
 
-    /// The listed state of a depot.
-    pub fn depot(&self, id: &str) -> Option<&Depot> {
-        self.depots.get(id)
+    /// Whether any depot is listed.
+    pub fn is_listed(&self) -> bool {
+        !self.depots.is_empty()
     }
 
-    /// Ids of all depots.
-    pub fn depots(&self) -> impl Iterator<Item = &Id> {
-        self.depots.keys()
+    /// Takes where a depot listens.
+    pub fn list(&mut self, id: &Id, address: SocketAddr) {
+        self.depots.insert(id.clone(), address);
     }
 
-    /// Takes what the list says; gives the connections that lead to what is there no more: those opened
-    /// before the depot's latest start, or to an address that it has left.
-    pub fn list(&mut self, id: &Id, depot: Depot) -> Vec<Token> {
-        let moved = self.depots.get(id).is_some_and(|d| d.address != depot.address);
-        let started = depot.started;
-        self.depots.insert(id.clone(), depot);
-        let old = |t: &&Token| moved || self.links.get(t).is_some_and(|l| l.dialed < started);
+    /// The connections to a depot that were dialed before a moment.
+    pub fn dialed_before(&self, id: &str, moment: Time) -> Vec<Token> {
+        let old = |t: &&Token| self.links.get(t).is_some_and(|l| l.dialed < moment);
         self.tokens(id).iter().filter(old).copied().collect()
     }
 
@@ -204,7 +190,7 @@
     /// The connection on which an attempt goes to a depot. `spent` are those on which an earlier attempt of
     /// the same request was given up: a late answer to that one could be taken for one to this.
     pub fn choose(&self, depot: &str, now: Time, spent: &[Token]) -> Choice {
-        let Some(listed) = self.depots.get(depot) else { return Choice::Full };
+        let Some(&address) = self.depots.get(depot) else { return Choice::Full };
         let links = || self.tokens(depot).iter().filter_map(|t| Some((*t, self.links.get(t)?)));
         // Purges and drains bind at what is written: nothing is put behind bytes that wait to be written.
         let fits = |l: &Link<T>| l.conn.is_open() && l.out.len() < self.multiplex && l.conn.backlog() == 0;
@@ -222,7 +208,7 @@
             return Choice::Wait(token);
         }
         if self.tokens(depot).len() < self.most_each && !self.is_full() {
-            return Choice::Dial(listed.address);
+            return Choice::Dial(address);
         }
         let least_silent = usable().max_by_key(|(t, l)| (l.asked, *t));
         least_silent.map_or(Choice::Full, |(t, _)| Choice::Use(t))
@@ -239,7 +225,7 @@
         let busy = |t: &Token| self.links.get(t).is_some_and(|l| l.conn.is_open() && !l.is_idle());
         let room = self.links.len() < self.most / 2;
         let wanted = tokens.len() < share && room && tokens.iter().all(busy);
-        self.depots.get(depot).filter(|_| wanted).map(|d| d.address)
+        self.depots.get(depot).filter(|_| wanted).copied()
     }
 
     /// Connections to a depot that have stayed silent. When a dial to it gets no answer either, nobody is
--- a/src/net/pool/tests.rs
+++ b/src/net/pool/tests.rs
@@ -55,14 +55,14 @@
     format!("s-{depot:08x}").into()
 }
 
-fn listed(started: Time) -> Depot {
-    Depot { address: ([127, 0, 0, 1], 9).into(), listed: Listed::Healthy, started }
+fn address() -> SocketAddr {
+    ([127, 0, 0, 1], 9).into()
 }
 
 fn check(steps: Vec<Step>) {
     let mut pool: Pool<Script> = Pool::new(MULTIPLEX, MOST, EACH, 13_500_000);
     for depot in 0..2 {
-        pool.list(&name(depot), listed(0));
+        pool.list(&name(depot), address());
     }
     let (mut now, mut next, mut last) = (SILENT, 0, None);
     for (number, step) in steps.into_iter().enumerate() {
@@ -101,7 +101,7 @@
                         let room = |t: &&Token| pool.links[*t].out.len() < MULTIPLEX;
                         let free = |t: &&Token| pool.links[*t].conn.backlog() == 0;
                         let left = pool.tokens(&depot).iter().filter(usable).filter(room).find(free);
-                        assert!(left.is_none() || pool.depot(&depot).is_none(), "there was room");
+                        assert!(left.is_none() || !pool.depots.contains_key(&depot), "there was room");
                     }
                 }
             }
@@ -134,14 +134,15 @@
                 assert_eq!(pool.choose(&name(depot), now, &[]), Choice::Full);
             }
             Step::Restarts(depot) => {
-                let old = pool.list(&name(depot), listed(now));
+                pool.list(&name(depot), address());
+                let old = pool.dialed_before(&name(depot), now);
                 old.into_iter().for_each(|t| drop(pool.remove(t)));
                 let stays = |l: &Link<Script>| l.depot != name(depot) || l.dialed >= now;
                 assert!(pool.links.values().all(stays), "a connection to a process that is no more");
             }
         }
         if let Some(token) = tokens.iter().find(|t| pool.links.get(t).is_some_and(|l| l.is_idle())) {
-            let listed = pool.depot(&pool.links[token].depot).is_some();
+            let listed = pool.depots.contains_key(&pool.links[token].depot);
             assert!(listed || pool.idle(now, Time::MAX).contains(token), "kept open to one that is gone");
         }
         assert!(pool.len() <= MOST && pool.by_depot.values().all(|t| t.len() <= EACH));
