--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,9 @@
 //! Stand-ins for what a doorman talks to, played from public specifications, and checkers of their records.
+//!
+//! Everything is on loopback, scripted or drawn from a seed. Nothing here is linked into the doorman.
+#![forbid(unsafe_code)]
+
+pub mod checker;
+pub mod clients;
+pub mod depots;
+pub mod registry;
--- /dev/null
+++ b/src/cli/run.rs
@@ -0,0 +1,86 @@
+//! Runs the doorman: its configuration, its log, and its end.
+
+use super::{fail, Run};
+use crate::net::clock::Clock;
+use crate::net::config::Config;
+use crate::net::doorman::Doorman;
+use crate::product::{script, LogForm};
+use slog::{info, o, Drain, Level, Logger};
+use slog_async::{AsyncGuard, OverflowStrategy};
+use std::process::ExitCode;
+use std::sync::mpsc;
+use std::time::Duration;
+
+/// Log lines that may wait to be written; more are dropped and counted.
+const LOG_LINES: usize = 1024;
+/// How long the last log lines may take.
+const LAST_LINES: Duration = Duration::from_millis(200);
+
+fn written<D: Drain + Send + 'static>(lines: D) -> (slog_async::Async, AsyncGuard)
+where
+    D::Err: std::fmt::Debug,
+{
+    slog_async::Async::new(lines.fuse())
+        .chan_size(LOG_LINES)
+        .overflow_strategy(OverflowStrategy::DropAndReport)
+        .build_with_guard()
+}
+
+/// A log to standard error. Writing is another thread's, so that a full pipe never holds up the loop.
+fn logger(name: &str, form: LogForm) -> (Logger, AsyncGuard) {
+    let level = match std::env::var("LARCHDALE_LOG").as_deref() {
+        Ok("debug") => Level::Debug,
+        Ok("warning") => Level::Warning,
+        _ => Level::Info,
+    };
+    let (drain, guard) = match form {
+        LogForm::Text => {
+            let decorator = slog_term::PlainDecorator::new(std::io::stderr());
+            written(slog_term::FullFormat::new(decorator).use_utc_timestamp().build())
+        }
+        LogForm::Json => written(slog_json::Json::new(std::io::stderr()).add_default_keys().build()),
+    };
+    (Logger::root(drain.filter_level(level).fuse(), o!("name" => name.to_owned())), guard)
+}
+
+/// Writes the last lines, unless the pipe is full: nothing must hold up the end.
+fn end_log(guard: AsyncGuard) {
+    let (done, is_done) = mpsc::channel();
+    std::thread::spawn(move || {
+        drop(guard);
+        let _ = done.send(());
+    });
+    let _ = is_done.recv_timeout(LAST_LINES);
+}
+
+pub(super) fn run(options: Run) -> ExitCode {
+    let clock = Clock::start();
+    let config = match Config::from_env() {
+        Ok(config) => config,
+        Err(e) => return fail(&e.to_string()),
+    };
+    let product = match options.product.map(|path| Ok((script::read(&path)?, path))).transpose() {
+        Ok(product) => product.map(|(product, path)| (path, product)),
+        Err(e) => return fail(&script::ScriptError::to_string(&e)),
+    };
+    let set = product.as_ref().and_then(|(_, product)| product.log);
+    let form = options.log_format.map(LogForm::from).or(set).unwrap_or_default();
+    let (log, guard) = logger(&config.name, form);
+    let listen = config.listen;
+    let started =
+        Doorman::start_with(config, product, clock, log.clone()).and_then(|d| Ok((d.address()?, d)));
+    let (address, doorman) = match started {
+        Ok(started) => started,
+        Err(e) => return fail(&format!("can't listen on {listen}: {e}")),
+    };
+    info!(log, "listening"; "address" => %address);
+    let ended = doorman.run();
+    end_log(guard);
+    match ended {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("larchdale: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,10 +7,13 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod cli;
 pub mod interface;
 mod logic;
 pub mod membership;
 pub mod net;
+pub mod product;
+pub mod registry;
 pub mod settings;
 
 /// Compiles and runs the example of the README.
--- a/src/net/doorman.rs
+++ b/src/net/doorman.rs
@@ -22,6 +22,10 @@
 use crate::interface::{Action, Code, Event, Fetch, Id, Listed, Note, Outcome, Report, Request, Time};
 use crate::invariant;
 use crate::membership::{Connections, Entry, Membership};
+use crate::product::{script, Product};
+use crate::registry::driver::Driver;
+use crate::registry::record::{self, Names};
+use crate::registry::session::Update;
 use crate::settings::Document;
 use crate::Router;
 use bytes::BytesMut;
@@ -79,6 +83,9 @@
 const DRAIN_FLUSH: Time = 200 * MS;
 /// Most depots that the list may hold.
 const MOST_DEPOTS: usize = 65_536;
+/// Changes of the list taken from a registry, and told to the module, in one turn.
+const UPDATES: usize = 512;
+const TOLD: usize = 256;
 /// Purges are remembered for as long as an attempt can wait to be written, and longer.
 const PURGES_KEPT: Time = 5_000 * MS;
 
@@ -98,6 +105,8 @@
     Sweep,
     Figures,
     Accept,
+    /// The registry's driver wanted a turn at this moment.
+    Registry(Time),
     DrainEnd,
 }
 
@@ -222,12 +231,18 @@
     name: String,
     listen: SocketAddr,
     config_path: PathBuf,
+    product_path: Option<PathBuf>,
     settings: Document,
     router: Router,
     event_loop: EventLoop,
     timers: Timers<Due>,
     listener: (Token, TcpListener),
     feed: Feed,
+    /// Where the list of depots comes from, if not from the command channel.
+    registry: Option<Box<Driver>>,
+    registry_due: Option<Time>,
+    /// There is more to do than one turn took.
+    more: bool,
     bounds: Bounds,
     clients: FxHashMap<Token, Client>,
     /// A failed accept will be tried again by a timer that is already set.
@@ -252,6 +267,16 @@
 impl Doorman {
     /// Listens, takes the list of depots from the configuration and is ready to run.
     pub fn start(config: Config, clock: Clock, log: Logger) -> io::Result<Self> {
+        Doorman::start_with(config, None, clock, log)
+    }
+
+    /// The same with the product's own settings and the file that they are from.
+    pub fn start_with(
+        config: Config,
+        product: Option<(PathBuf, Product)>,
+        clock: Clock,
+        log: Logger,
+    ) -> io::Result<Self> {
         let mut event_loop = EventLoop::new()?;
         let mut listener = TcpListener::bind(config.listen)?;
         let token = event_loop.add(&mut listener, Interest::READABLE)?;
@@ -266,11 +291,15 @@
             name: config.name,
             listen: config.listen,
             config_path: config.path,
+            product_path: None,
             router,
             event_loop,
             timers: Timers::default(),
             listener: (token, listener),
             feed: Feed::new(config.channel, config.cursor),
+            registry: None,
+            registry_due: None,
+            more: false,
             bounds,
             clients: FxHashMap::default(),
             accept_later: false,
@@ -289,9 +318,19 @@
             told: Vec::new(),
             settings: config.settings,
         };
+        if let Some((path, product)) = product {
+            doorman.product_path = Some(path);
+            if let Some(registry) = product.registry {
+                let s = &doorman.settings;
+                let names = Names { kinds: s.kinds.clone(), zones: s.failure_domains.clone() };
+                let driver = Driver::new(registry, names, config.seed, doorman.now, doorman.log.clone());
+                doorman.registry = Some(Box::new(driver));
+            }
+        }
         for command in config.known {
             doorman.command(command);
         }
+        doorman.tend_registry();
         doorman.settle();
         for due in [Due::Sweep, Due::Figures] {
             doorman.timers.set(doorman.now, due);
@@ -317,7 +356,7 @@
     /// One turn: waits for something to happen and takes it, then the timers that are due.
     fn turn(&mut self) -> io::Result<()> {
         let until = self.timers.next().unwrap_or(self.now + SWEEP).saturating_sub(self.clock.now());
-        let wait = if self.again.is_empty() { until } else { 0 };
+        let wait = if self.again.is_empty() && !self.more { until } else { 0 };
         let mut ready = std::mem::take(&mut self.ready);
         self.event_loop.wait(Duration::from_micros(wait), &mut ready)?;
         self.now = self.clock.now();
@@ -328,6 +367,10 @@
             self.ready(event);
         }
         self.ready = ready;
+        if std::mem::take(&mut self.more) {
+            self.tend_registry();
+            self.settle();
+        }
         while let Some((at, due)) = self.timers.due(self.now) {
             self.figures.latest_timer = self.figures.latest_timer.max(self.now - at);
             self.due(due);
@@ -351,6 +394,11 @@
             self.client_ready(event);
         } else if self.feed.token() == Some(event.token) {
             self.feed_ready(event);
+        } else if self.registry.as_ref().is_some_and(|r| r.token() == Some(event.token)) {
+            if let Some(registry) = &mut self.registry {
+                registry.ready(event);
+            }
+            self.tend_registry();
         } else {
             self.link_ready(event);
         }
@@ -378,6 +426,13 @@
                 self.accept_later = false;
                 self.accept();
             }
+            Due::Registry(at) => {
+                // An earlier one may have been set since.
+                if self.registry_due == Some(at) {
+                    self.registry_due = None;
+                }
+                self.tend_registry();
+            }
             Due::DrainEnd => self.end_drain(),
         }
     }
@@ -435,6 +490,9 @@
         info!(self.log, "figures"; "counts" => ?self.figures, "clients" => self.clients.len(),
               "links" => self.pool.len(), "open" => self.requests.len(), "broken_invariants" => broken);
         self.figures.latest_timer = 0;
+        if let Some(registry) = &self.registry {
+            registry.report(self.now, &self.membership.counts());
+        }
     }
 
     // ---- the end ----
--- a/src/net/doorman/news.rs
+++ b/src/net/doorman/news.rs
@@ -30,7 +30,7 @@
         if !self.feed.wants_dial(self.now) {
             return;
         }
-        match self.connect(self.feed.address()) {
+        match self.event_loop.connect(self.feed.address()) {
             Ok((token, stream)) => self.feed.dialed(token, Connection::dialing(stream, self.now)),
             Err(_) => self.feed.drop_link(self.now),
         }
@@ -38,10 +38,15 @@
 
     /// Takes up the configuration file as it is now, if it can be used; else all stays as it is.
     pub(super) fn reload(&mut self) {
+        // Both are read whole before anything changes.
         let new = match Config::read(self.config_path.clone()) {
             Ok(new) => new,
             Err(e) => return warn!(self.log, "new configuration not used"; "error" => %e),
         };
+        let product = match self.product_path.as_deref().map(script::read).transpose() {
+            Ok(product) => product,
+            Err(e) => return warn!(self.log, "new settings not used"; "error" => %e),
+        };
         let fixed = [
             ("name", new.name == self.name),
             ("listen", new.listen == self.listen),
@@ -57,10 +62,79 @@
             self.feed.move_to(new.channel);
             self.tend_feed();
         }
+        if let Some(product) = product {
+            self.reload_product(product);
+        }
+    }
+
+    fn reload_product(&mut self, product: Product) {
+        let (Some(registry), Some(new)) = (&mut self.registry, &product.registry) else {
+            if self.registry.is_some() || product.registry.is_some() {
+                warn!(self.log, "takes a restart to change"; "what" => "whether there is a registry");
+            }
+            return;
+        };
+        if !registry.reconfigure(self.now, new) {
+            warn!(self.log, "takes a restart to change"; "what" => "prefix, snapshot or bounds of the registry");
+        }
+        info!(self.log, "settings read again"; "endpoints" => ?new.endpoints);
+        self.tend_registry();
+    }
+
+    /// Lets the registry's driver do what is due, and takes over what follows for the list, in portions.
+    pub(super) fn tend_registry(&mut self) {
+        let Some(mut registry) = self.registry.take() else { return };
+        registry.turn(self.now, &mut self.event_loop);
+        let settings = &self.settings;
+        for update in registry.take(UPDATES) {
+            let taken = match update {
+                Update::Gone(id) => {
+                    self.membership.remove(self.now, &id);
+                    Ok(())
+                }
+                Update::Close(id) => {
+                    self.membership.close(self.now, &id);
+                    Ok(())
+                }
+                Update::Put { id, depot, process, appeared } => {
+                    let told = self.clock.of_unix_ms(depot.started_ms);
+                    let entry = Entry {
+                        id,
+                        address: depot.address,
+                        listed: match depot.state {
+                            record::State::Ready => Listed::Healthy,
+                            record::State::Draining => Listed::Draining,
+                        },
+                        role: settings.role(i64::from(depot.kind)),
+                        zone: depot.zone,
+                        cell: depot.cell,
+                        kind: depot.kind,
+                        weight: depot.weight,
+                        // Guards the cold rule where a record does not tell its depot's start.
+                        started: if appeared && depot.started_ms == 0 { self.now } else { told },
+                        process,
+                    };
+                    self.membership.put(self.now, entry)
+                }
+            };
+            if let Err(e) = taken {
+                warn!(self.log, "depot not taken"; "why" => %e);
+            }
+        }
+        self.tell_members(TOLD);
+        self.more = registry.wants_turn() || self.membership.has_changes();
+        let due = registry.next();
+        if !self.more && self.registry_due.is_none_or(|d| due < d) {
+            self.registry_due = Some(due);
+            self.timers.set(due, Due::Registry(due));
+        }
+        self.registry = Some(registry);
     }
 
     pub(super) fn command(&mut self, command: Command) {
         match command {
+            // Two sources of one list would undo each other's drains.
+            Command::Depots { .. } if self.registry.is_some() => {}
             Command::Depots { whole, records } => self.depots(whole, records),
             Command::Purge { what, when_ms } => {
                 let age = self.now.saturating_sub(self.clock.of_unix_ms(when_ms));
--- a/src/net/doorman/upstream.rs
+++ b/src/net/doorman/upstream.rs
@@ -146,7 +146,7 @@
 
     fn dial(&mut self, depot: &Id, address: SocketAddr) -> Option<Token> {
         self.figures.dials += 1;
-        match self.connect(address) {
+        match self.event_loop.connect(address) {
             Ok((token, stream)) => {
                 let conn = Connection::dialing(stream, self.now);
                 self.pool.add(token, Link::new(conn, depot.clone(), self.now));
@@ -161,14 +161,6 @@
         }
     }
 
-    /// Begins to connect; the poll tells how it ends.
-    pub(super) fn connect(&mut self, address: SocketAddr) -> io::Result<(Token, TcpStream)> {
-        let mut stream = TcpStream::connect(address)?;
-        stream.set_nodelay(true)?;
-        let token = self.event_loop.add(&mut stream, Interest::READABLE | Interest::WRITABLE)?;
-        Ok((token, stream))
-    }
-
     pub(super) fn dial_overdue(&mut self, token: Token) {
         let Some(link) = self.pool.link(token) else { return };
         if link.conn.state() != State::Dialing {
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -2,11 +2,12 @@
 
 use crate::interface::Time;
 use mio::event::Source;
-use mio::net::UnixStream;
+use mio::net::{TcpStream, UnixStream};
 use mio::{Events, Interest, Poll, Token};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::io::{self, Read};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
@@ -135,6 +136,14 @@
         Ok(token)
     }
 
+    /// Begins to connect; the poll tells how it ends.
+    pub fn connect(&mut self, address: SocketAddr) -> io::Result<(Token, TcpStream)> {
+        let mut stream = TcpStream::connect(address)?;
+        stream.set_nodelay(true)?;
+        let token = self.add(&mut stream, Interest::READABLE | Interest::WRITABLE)?;
+        Ok((token, stream))
+    }
+
     /// Waits until something is ready, for `wait` at most, and appends what is.
     pub fn wait(&mut self, wait: Duration, ready: &mut Vec<Ready>) -> io::Result<()> {
         match self.poll.poll(&mut self.events, Some(wait)) {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -7,6 +7,7 @@
 pub mod doorman;
 pub mod event_loop;
 pub mod feed;
+pub mod grpc;
 pub mod pool;
 pub mod proto;
 #[cfg(test)]
--- /dev/null
+++ b/src/product/tests.rs
@@ -0,0 +1,76 @@
+use super::script::{run, ScriptError};
+use super::*;
+use std::path::Path;
+
+const GOOD: &str = r#"
+# A registry of three.
+hosts = ["127.0.0.%d:2379" % n for n in range(1, 4)]
+registry(
+    endpoints = hosts,
+    prefix = "/larchdale/test/",
+    check_ms = 100 + 100,
+    snapshot = "/var/lib/larchdale",
+)
+log(form = "json")
+"#;
+
+fn wrong(text: &str) -> (usize, usize, String) {
+    match run(Path::new("x.star"), text.to_owned()) {
+        Err(ScriptError::Wrong { line, column, what, .. }) => (line, column, what),
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn a_script_gives_typed_values_and_what_it_leaves_out_is_as_usual() {
+    let product = run(Path::new("x.star"), GOOD.to_owned()).unwrap();
+    let registry = product.registry.unwrap();
+    assert_eq!(registry.endpoints.len(), 3);
+    let usual = Registry::new(registry.endpoints.clone(), "/larchdale/test/");
+    let set = Registry { check: 200_000, snapshot: Some("/var/lib/larchdale".into()), ..usual };
+    assert_eq!((registry, product.log), (set, Some(LogForm::Json)));
+    assert_eq!(run(Path::new("x.star"), String::new()).unwrap(), Product::default());
+}
+
+#[test]
+fn what_is_wrong_is_told_with_line_column_and_a_hint() {
+    for (text, line, column, parts) in [
+        (
+            "registry(\n  endpoints = [\"127.0.0.1:1\"],\n  prefx = \"/a/\",\n)",
+            3,
+            3,
+            ["prefx", "did you mean prefix"],
+        ),
+        ("registry(endpoints = [\"127.0.0.1:1\"], prefix = 7)", 1, 39, ["a number, not a string", "hint: "]),
+        (
+            "\nregistry(endpoints = [\"127.0.0.1:1\"], prefix = \"/a/\", page = 0)",
+            2,
+            55,
+            ["page is 0", "1 to 5000"],
+        ),
+        ("registry(endpoints = [\"h:1\"], prefix = \"/a/\")", 1, 10, ["endpoints[0]", "not an address"]),
+        ("registry(endpoints = [], prefix = \"/a/\")", 1, 10, ["0 entries", "1 to 16"]),
+        ("registry(prefix = \"/a/\")", 1, 1, ["lacks endpoints", "hint"]),
+        ("log(form = \"xml\")", 1, 5, ["neither", "text"]),
+        ("log(form = \"text\")\nlog(form = \"json\")", 2, 1, ["called twice", "hint"]),
+        ("a = 1\nb = a + \"x\"", 2, 5, ["not supported", "int"]),
+        ("registry(\n  endpoints = ]", 2, 15, ["Parse error", "]"]),
+        ("regstry()", 1, 1, ["regstry", "registry"]),
+    ] {
+        let (at_line, at_column, what) = wrong(text);
+        assert_eq!((at_line, at_column), (line, column), "{text}: {what}");
+        assert!(parts.iter().all(|p| what.contains(p)), "{text}: {what}");
+    }
+}
+
+#[test]
+fn a_script_that_runs_on_or_eats_memory_is_ended() {
+    let endless =
+        "def f():\n    for a in range(100000):\n        for b in range(100000):\n            pass\nf()";
+    assert!(wrong(endless).2.contains("limit"), "{:?}", wrong(endless));
+    let greedy = "def f():\n    x = \"a\" * 1000\n    l = []\n    for a in range(100000):\n        l.append(x + str(a))\nf()";
+    assert!(wrong(greedy).2.contains("Heap"), "{:?}", wrong(greedy));
+    let deep = "def f(n):\n    return f(n + 1)\nf(0)";
+    let (_, _, what) = wrong(deep);
+    assert!(what.contains("recurs") || what.contains("stack"), "{what}");
+}
--- /dev/null
+++ b/src/registry/mod.rs
@@ -0,0 +1,11 @@
+//! A key-value registry (the published etcd v3 interface) as a source of the list of depots.
+//!
+//! [`session`] decides: what to ask whom, what to believe, what follows for the list. [`record`] reads keys and
+//! values, [`messages`] are the interface's own, [`snapshot`] keeps the list on disk, and [`driver`] joins them to
+//! the loop.
+
+pub mod driver;
+pub mod messages;
+pub mod record;
+pub mod session;
+pub mod snapshot;
--- /dev/null
+++ b/tests/registry.rs
@@ -0,0 +1,332 @@
+//! A doorman as a process, a registry of three members, depots and a client, all on loopback, under faults. What is
+//! promised in time is judged by the stand-ins' records.
+#![cfg(unix)]
+
+use larchdale::registry::record::{Record, State};
+use larchdale_standins::checker::{late, Committed};
+use larchdale_standins::clients::Client;
+use larchdale_standins::depots::{Depot, Notes};
+use larchdale_standins::registry::{Fault, Registry};
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, ChildStderr, Command, Stdio};
+use std::sync::mpsc::{channel, Receiver};
+use std::time::{Duration, Instant};
+
+/// Far longer than anything here takes: only a hang gets there.
+const HANG: Duration = Duration::from_secs(30);
+const PREFIX: &str = "/larchdale/test/";
+
+struct World {
+    registry: Registry,
+    notes: Notes,
+    depots: Vec<Depot>,
+    doorman: Child,
+    lines: Receiver<String>,
+    /// All that the doorman has logged so far.
+    log: Vec<String>,
+    client: Client,
+    traces: u64,
+    commits: Vec<Committed>,
+    deaf: Vec<(Instant, Instant)>,
+    folder: PathBuf,
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        let _ = self.doorman.kill();
+        let _ = self.doorman.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn record(address: SocketAddr, kind: &str, state: State) -> Vec<u8> {
+    let zone = if kind == "origin" { "hub" } else { "branch" }.to_owned();
+    let record = Record { address, kind: kind.to_owned(), zone, state, cell: 0, weight: 20.0, started_ms: 1 };
+    serde_json::to_vec(&record).unwrap()
+}
+
+fn key(id: &str) -> Vec<u8> {
+    format!("{PREFIX}{id}").into_bytes()
+}
+
+/// Starts a doorman and gives it with its log and where it listens.
+fn doorman(folder: &PathBuf) -> (Child, Receiver<String>, SocketAddr) {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_larchdale"))
+        .arg("--product")
+        .arg(folder.join("product.star"))
+        .env("PROXY_CONFIG", folder.join("config.json"))
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let (send, lines) = channel();
+    let log: BufReader<ChildStderr> = BufReader::new(child.stderr.take().unwrap());
+    std::thread::spawn(move || log.lines().map_while(Result::ok).try_for_each(|l| send.send(l)));
+    let first = loop {
+        let line = lines.recv_timeout(HANG).expect("it says where it listens");
+        if line.contains("listening") {
+            break line;
+        }
+    };
+    let address = first.split_once("address: ").and_then(|p| p.1.split_once(',')).unwrap().0;
+    (child, lines, address.parse().unwrap())
+}
+
+impl World {
+    fn new(name: &str, boxes: usize, settings: &str) -> Self {
+        let folder = std::env::temp_dir().join(format!("larchdale-registry-{}-{name}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let registry = Registry::start(3).unwrap();
+        let notes = Notes::default();
+        let mut depots = vec![Depot::start("archive", &notes).unwrap()];
+        depots.extend((0..boxes).map(|n| Depot::start(&format!("box-{n}"), &notes).unwrap()));
+        for depot in &depots {
+            let kind = if depot.id == "archive" { "origin" } else { "small-box" };
+            registry.with(|s| s.put(&key(&depot.id), &record(depot.address, kind, State::Ready), 0));
+        }
+        let mut config: serde_json::Value =
+            serde_json::from_str(include_str!("../examples/config.json")).unwrap();
+        config["listen"] = "127.0.0.1:0".into();
+        config["channel"] = "127.0.0.1:9".into();
+        std::fs::write(folder.join("config.json"), config.to_string()).unwrap();
+        let script =
+            format!("registry(endpoints = {:?}, prefix = {PREFIX:?}, {settings})", registry.addresses);
+        std::fs::write(
+            folder.join("product.star"),
+            script.replace("127.0.0.1", "\"127.0.0.1").replace(", \"127", "\", \"127").replace("],", "\"],"),
+        )
+        .unwrap();
+        let (doorman, lines, address) = doorman(&folder);
+        let client = Client::connect(address).unwrap();
+        let mut world = World {
+            registry,
+            notes,
+            depots,
+            doorman,
+            lines,
+            client,
+            folder,
+            log: Vec::new(),
+            traces: 0,
+            commits: Vec::new(),
+            deaf: Vec::new(),
+        };
+        world.logs("list taken");
+        world
+    }
+
+    /// Reads the log on until it has a line with `text`, behind what was read for the last call.
+    fn logs(&mut self, text: &str) -> String {
+        let until = Instant::now() + HANG;
+        loop {
+            let line = self.lines.recv_timeout(until.saturating_duration_since(Instant::now()));
+            let line = line.unwrap_or_else(|_| panic!("never logged: {text}\n{}", self.log.join("\n")));
+            self.log.push(line.clone());
+            if line.contains(text) {
+                return line;
+            }
+        }
+    }
+
+    fn box_address(&self, id: &str) -> SocketAddr {
+        self.depots.iter().find(|d| d.id == id).unwrap().address
+    }
+
+    fn set(&mut self, id: &str, state: Option<State>) {
+        let address = self.box_address(id);
+        self.registry.with(|s| match state {
+            Some(state) => {
+                s.put(&key(id), &record(address, "small-box", state), 0);
+            }
+            None => {
+                s.delete(&key(id));
+            }
+        });
+        let open = state == Some(State::Ready);
+        self.commits.push(Committed { at: Instant::now(), depot: id.to_owned(), open });
+    }
+
+    /// Asks for many objects for a while, then waits for the answers that are still due.
+    fn ask_for(&mut self, span: Duration) {
+        let until = Instant::now() + span;
+        while Instant::now() < until {
+            // A connection may have 32 requests open.
+            for _ in 0..(20u64.saturating_sub(self.traces - self.client.answers.len() as u64)).min(4) {
+                self.traces += 1;
+                let object = self.traces.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+                self.client.ask("images", self.traces, object, 1_500).unwrap();
+            }
+            assert!(self.client.hear(Duration::from_millis(5)).unwrap(), "the doorman left");
+        }
+        let until = Instant::now() + HANG;
+        while self.client.answers.len() < self.traces as usize && Instant::now() < until {
+            assert!(self.client.hear(Duration::from_millis(50)).unwrap());
+        }
+    }
+
+    /// Which depots have got work, as targets, since a moment.
+    fn worked(&self, since: Instant) -> Vec<String> {
+        let notes = self.notes.lock().unwrap();
+        let mut ids: Vec<String> = notes.iter().filter(|a| a.at >= since).map(|a| a.depot.clone()).collect();
+        ids.sort();
+        ids.dedup();
+        ids
+    }
+
+    /// The promises: one final answer each, and nothing late at a closed depot.
+    fn judge(&self, most: Duration) {
+        let asked = self.notes.lock().unwrap();
+        for late in late(&self.commits, &self.deaf, &asked) {
+            assert!(late.after <= most, "{late:?}\n{}", self.log.join("\n"));
+        }
+        assert_eq!(self.client.answers.len() as u64, self.traces, "each is answered");
+        assert!(self.client.answers.values().all(|codes| codes.len() == 1), "with one final answer");
+    }
+}
+
+const SECOND: Duration = Duration::from_secs(1);
+
+#[test]
+fn drains_removals_and_newcomers_are_followed_while_the_connection_stands() {
+    let mut w = World::new("follow", 3, "");
+    w.ask_for(SECOND / 4);
+    assert!(w
+        .worked(w.commits.first().map_or(Instant::now() - SECOND, |c| c.at))
+        .contains(&"box-0".to_owned()));
+    w.set("box-0", Some(State::Draining));
+    w.set("box-1", None);
+    w.ask_for(SECOND / 2);
+    let since = Instant::now();
+    w.ask_for(SECOND / 4);
+    assert_eq!(w.worked(since), ["box-2"]);
+    w.set("box-0", Some(State::Ready));
+    w.set("box-2", None);
+    w.ask_for(SECOND);
+    assert!(w.worked(since).contains(&"box-0".to_owned()), "{:?}", w.log);
+    w.judge(SECOND);
+}
+
+#[test]
+fn a_drain_during_a_break_a_compaction_and_silence_is_never_missed() {
+    let mut w = World::new("gaps", 6, "check_ms = 100, silence_ms = 300");
+    w.ask_for(SECOND / 4);
+    // The connection breaks, and the drain is compacted away before anybody can hear of it.
+    for member in 0..3 {
+        w.registry.fault(member, Fault::Down);
+    }
+    let from = Instant::now();
+    w.logs("connection lost");
+    w.set("box-0", Some(State::Draining));
+    w.set("box-1", None);
+    w.registry.with(|s| {
+        let now = s.revision;
+        s.compact(now);
+    });
+    w.ask_for(SECOND / 4);
+    for member in 0..3 {
+        w.registry.fault(member, Fault::None);
+    }
+    w.deaf.push((from, Instant::now()));
+    w.logs("list taken");
+    w.ask_for(SECOND / 4);
+    // One member falls silent with its connection open: the others go on.
+    for member in 0..3 {
+        w.registry.fault(member, Fault::Stalled);
+    }
+    let silent = Instant::now();
+    w.set("box-2", Some(State::Draining));
+    w.logs("connection lost");
+    for member in 0..3 {
+        w.registry.fault(member, Fault::None);
+    }
+    w.deaf.push((silent, Instant::now()));
+    w.ask_for(SECOND);
+    // Answers double, come in fragments, and break in the middle.
+    for (n, fault) in [Fault::Doubling, Fault::Fragments, Fault::CutAfter(40)].into_iter().enumerate() {
+        for member in 0..3 {
+            w.registry.fault(member, fault);
+        }
+        w.set(&format!("box-{}", 3 + n), Some(State::Draining));
+        w.set("box-0", Some(State::Ready));
+        w.set("box-0", Some(State::Draining));
+        w.ask_for(SECOND / 2);
+    }
+    let began = Instant::now();
+    for member in 0..3 {
+        w.registry.fault(member, Fault::None);
+    }
+    w.deaf.push((began - SECOND / 2, began));
+    w.set("box-4", Some(State::Ready));
+    w.ask_for(SECOND);
+    let since = Instant::now();
+    w.ask_for(SECOND / 4);
+    assert_eq!(w.worked(since), ["box-4"], "{}", w.log.join("\n"));
+    w.judge(SECOND);
+}
+
+#[test]
+fn a_lagging_member_is_not_believed_and_an_unreadable_record_is_a_drain() {
+    let mut w = World::new("lag", 3, "check_ms = 100, silence_ms = 300, restored_ms = 60000");
+    let before = w.registry.with(|s| s.revision);
+    w.set("box-0", Some(State::Draining));
+    w.ask_for(SECOND / 4);
+    // All members but one go back to before the drain, and the one that is current breaks off.
+    for member in 0..3 {
+        w.registry.fault(member, Fault::Lagging(before));
+    }
+    w.logs("connection lost");
+    w.logs("lags, not believed");
+    w.ask_for(SECOND / 2);
+    w.registry.fault(0, Fault::None);
+    w.logs("list taken");
+    w.registry.with(|s| s.put(&key("box-1"), b"{\"address\": \"nowhere\"}", 0));
+    w.commits.push(Committed { at: Instant::now(), depot: "box-1".into(), open: false });
+    let said = w.logs("can't be read, counts as a drain");
+    assert!(said.contains("box-1") && said.contains("revision: "), "{said}");
+    w.ask_for(SECOND / 4);
+    let since = Instant::now();
+    w.ask_for(SECOND / 4);
+    assert_eq!(w.worked(since), ["box-2"]);
+    w.judge(SECOND);
+}
+
+#[test]
+fn a_doorman_starts_from_its_snapshot_while_the_registry_is_away_and_corrects_itself() {
+    let mut w = World::new("snapshot", 2, "check_ms = 100, silence_ms = 300, snapshot = \"SNAPSHOT\"");
+    let folder = w.folder.join("snapshot");
+    let script = std::fs::read_to_string(w.folder.join("product.star")).unwrap();
+    std::fs::write(w.folder.join("product.star"), script.replace("SNAPSHOT", folder.to_str().unwrap()))
+        .unwrap();
+    let restart = |w: &mut World| {
+        let _ = w.doorman.kill();
+        let _ = w.doorman.wait();
+        let (child, lines, address) = doorman(&w.folder);
+        (w.doorman, w.lines, w.client) = (child, lines, Client::connect(address).unwrap());
+        (w.traces, w.log) = (0, Vec::new());
+    };
+    restart(&mut w);
+    w.logs("list taken");
+    let until = Instant::now() + HANG;
+    while !folder.join("depots.list").exists() && Instant::now() < until {
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    for member in 0..3 {
+        w.registry.fault(member, Fault::Down);
+    }
+    w.set("box-0", None);
+    restart(&mut w);
+    let since = Instant::now();
+    w.ask_for(SECOND / 4);
+    assert!(!w.worked(since).is_empty(), "it serves from the list on disk");
+    for member in 0..3 {
+        w.registry.fault(member, Fault::None);
+    }
+    w.deaf.push((since - SECOND, Instant::now()));
+    w.logs("list taken");
+    w.ask_for(SECOND / 4);
+    let since = Instant::now();
+    w.ask_for(SECOND / 4);
+    assert_eq!(w.worked(since), ["box-1"]);
+    w.judge(SECOND);
+}
