Model check and chaos in virtual time for the registry's session

Need: the promise that no drain or removal is lost is about orders of events that no example covers.

--- a/Makefile
+++ b/Makefile
@@ -5,11 +5,11 @@
 	cargo build --release --locked
 
 lint:
-	cargo fmt --check
-	cargo clippy --locked --all-targets -- -D warnings
+	cargo fmt --all --check
+	cargo clippy --locked --workspace --all-targets -- -D warnings
 
 test: lint build
-	cargo test --locked
+	cargo test --locked --workspace
 
 # The doorman of the configuration that PROXY_CONFIG names, or else of the example.
 run: build
--- a/src/registry/session.rs
+++ b/src/registry/session.rs
@@ -20,6 +20,9 @@
 //!   that stands behind what the registry has committed lead to a new list.
 //! - The last good list is lost. It stays until a newer one is whole.
 
+#[cfg(test)]
+mod tests;
+
 use super::record::{Depot, Event, Header, Item, Page, Said};
 use crate::interface::{Id, Time};
 use crate::net::grpc::{code, Status};
@@ -223,7 +226,7 @@
     last: Time,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Listing {
     link: u64,
     endpoint: usize,
@@ -240,7 +243,7 @@
     restored: bool,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Check {
     call: u64,
     sent: Time,
@@ -248,7 +251,7 @@
     answer: Option<(u64, u64)>,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Watching {
     link: u64,
     endpoint: usize,
@@ -261,7 +264,7 @@
     next_check: Time,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 enum State {
     Resting { until: Time },
     Dialing { link: u64, endpoint: usize, until: Time },
@@ -314,7 +317,7 @@
 }
 
 /// The session.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Session {
     settings: Settings,
     rng: Pcg32,
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -9,7 +9,7 @@
 use larchdale_standins::registry::{Fault, Registry};
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStderr, Command, Stdio};
 use std::sync::mpsc::{channel, Receiver};
 use std::time::{Duration, Instant};
@@ -52,7 +52,7 @@
 }
 
 /// Starts a doorman and gives it with its log and where it listens.
-fn doorman(folder: &PathBuf) -> (Child, Receiver<String>, SocketAddr) {
+fn doorman(folder: &Path) -> (Child, Receiver<String>, SocketAddr) {
     let mut child = Command::new(env!("CARGO_BIN_EXE_larchdale"))
         .arg("--product")
         .arg(folder.join("product.star"))
