--- a/crates/standins/src/clients.rs
+++ b/crates/standins/src/clients.rs
@@ -16,14 +16,28 @@
     next: u32,
     /// By stream, the codes that came: one for each request that was treated well.
     pub answers: HashMap<u32, Vec<u8>>,
+    /// Streams that were answered since the last call of [`Client::hear`].
+    pub fresh: Vec<u32>,
+    /// Bodies that came and that nobody has taken yet; kept small by whoever wants them.
+    pub bodies: Vec<String>,
 }
 
+/// Bodies kept for whoever wants them.
+const BODIES: usize = 64;
+
 impl Client {
     /// Connects to a doorman.
     pub fn connect(address: SocketAddr) -> io::Result<Self> {
         let stream = TcpStream::connect(address)?;
         stream.set_nodelay(true)?;
-        Ok(Client { stream, bytes: Vec::new(), next: 0, answers: HashMap::new() })
+        Ok(Client {
+            stream,
+            bytes: Vec::new(),
+            next: 0,
+            answers: HashMap::new(),
+            fresh: Vec::new(),
+            bodies: Vec::new(),
+        })
     }
 
     /// Sends a request; gives its stream.
@@ -57,6 +71,7 @@
 
     /// Takes what has come within a span; `false`: the connection has ended.
     pub fn hear(&mut self, within: Duration) -> io::Result<bool> {
+        self.fresh.clear();
         self.stream.set_read_timeout(Some(within.max(Duration::from_millis(1))))?;
         let mut chunk = [0; 16 * 1024];
         match self.stream.read(&mut chunk) {
@@ -70,6 +85,13 @@
             if let (ANSWER, Some(stream), Some(&code)) = (frame[0], frame.get(1..5), frame.get(5)) {
                 let stream = stream.iter().fold(0, |n, &b| n << 8 | u32::from(b));
                 self.answers.entry(stream).or_default().push(code);
+                self.fresh.push(stream);
+                // The codes have no fields here, but for what comes with the body.
+                if let Some(body) =
+                    frame.windows(5).position(|w| w == b"from ").filter(|_| self.bodies.len() < BODIES)
+                {
+                    self.bodies.push(String::from_utf8_lossy(&frame[body..]).into_owned());
+                }
             }
             self.bytes.drain(..4 + length);
         }
--- a/crates/standins/src/registry/chaos.rs
+++ b/crates/standins/src/registry/chaos.rs
@@ -36,6 +36,9 @@
     pub depots: usize,
     /// How long things go wrong.
     pub span: u64,
+    /// In place of drawn faults: the whole registry is away from one moment to another, and only the tries and
+    /// the return are looked at.
+    pub away: Option<(u64, u64)>,
 }
 
 /// What a run has shown.
@@ -51,6 +54,10 @@
     pub recoveries: u64,
     /// Faults that were caused.
     pub faults: u64,
+    /// When sessions dialed.
+    pub dials: Vec<u64>,
+    /// When, at the end, all sessions followed the registry again.
+    pub current: u64,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -76,6 +83,7 @@
     Commit,
     Fault,
     Heal(usize),
+    Away,
     Cut,
     Compact,
 }
@@ -111,6 +119,7 @@
     wake: u64,
     /// Since when the member it hears from is not good, while all others are.
     silent: Option<u64>,
+    follows: bool,
     /// By depot, the commit that its list has closed it for.
     closed: BTreeMap<usize, i64>,
 }
@@ -165,6 +174,7 @@
         link: None,
         wake: 0,
         silent: None,
+        follows: false,
         closed: BTreeMap::new(),
     };
     let mut world = World {
@@ -191,9 +201,17 @@
     for peer in 0..plan.sessions {
         world.at(S, Ev::Wake(peer));
     }
-    for first in [Ev::Commit, Ev::Fault, Ev::Cut, Ev::Compact] {
-        let at = S + world.rng.random_range(0..S);
-        world.at(at, first);
+    match plan.away {
+        Some((from, to)) => {
+            world.at(from, Ev::Away);
+            (0..MEMBERS).for_each(|m| world.at(to, Ev::Heal(m)));
+        }
+        None => {
+            for first in [Ev::Commit, Ev::Fault, Ev::Cut, Ev::Compact] {
+                let at = S + world.rng.random_range(0..S);
+                world.at(at, first);
+            }
+        }
     }
     world.play();
     world.out
@@ -228,7 +246,9 @@
             if let Some(event) = self.events[index].take() {
                 self.happen(event);
             }
-            self.check();
+            if self.plan.away.is_none() {
+                self.check();
+            }
         }
         self.out.broken.truncate(5);
         for peer in 0..self.peers.len() {
@@ -308,6 +328,7 @@
                 self.after(0, 3 * S, Ev::Fault);
             }
             Ev::Heal(member) => self.heal(member),
+            Ev::Away => (0..MEMBERS).for_each(|m| self.spoil(m, Health::Down)),
             Ev::Cut => {
                 let peer = self.rng.random_range(0..self.peers.len());
                 self.cut(peer);
@@ -330,7 +351,8 @@
         let now = self.now;
         let others_good = self.health.iter().filter(|h| **h != Health::Good).count() == 1;
         for peer in &mut self.peers {
-            let here = peer.link.as_ref().is_some_and(|l| l.open && l.member == member);
+            let here = peer.link.as_ref().is_some_and(|l| l.open && l.member == member)
+                && peer.session.is_watching();
             if !others_good {
                 peer.silent = None;
             } else if here && matches!(health, Health::Stalled | Health::Behind(_)) {
@@ -366,6 +388,8 @@
 
     fn cut(&mut self, peer: usize) {
         let Some(link) = self.peers[peer].link.take() else { return };
+        // From a break on it counts when the registry answers again.
+        self.peers[peer].silent = None;
         self.with(peer, |s, now, actions| s.lost(now, link.name, actions));
     }
 
@@ -549,6 +573,11 @@
             }
         }
         list.take(usize::MAX, &mut Vec::new());
+        let follows = self.peers[peer].session.is_watching();
+        if follows && !std::mem::replace(&mut self.peers[peer].follows, true) {
+            self.out.current = self.now;
+        }
+        self.peers[peer].follows = follows;
         let next = self.peers[peer].session.next().max(self.now + 1);
         if next < self.peers[peer].wake {
             self.peers[peer].wake = next;
@@ -567,6 +596,7 @@
     fn carry_out(&mut self, peer: usize, action: Action) {
         match action {
             Action::Dial { link, endpoint } => {
+                self.out.dials.push(self.now);
                 let (name, member, last) = (link, endpoint, self.now);
                 let heard_from = u64::MAX;
                 let link = Link { name, member, open: false, heard_from, last, watches: Vec::new() };
@@ -635,8 +665,8 @@
                     // It may still be closed for an earlier word, with one that opened it on its way.
                     let heard = peer.session.is_watching() && peer.session.revision() >= word.revision as u64;
                     if heard && peer.closed.insert(depot, word.revision) != Some(word.revision) {
-                        let from = link.map_or(word.at, |l| l.heard_from.max(word.at));
-                        self.out.delays.push(self.now.saturating_sub(from));
+                        let from = link.map(|l| l.heard_from.max(word.at));
+                        self.out.delays.extend(from.map(|f| self.now.saturating_sub(f)));
                     }
                     continue;
                 }
--- a/src/net/doorman.rs
+++ b/src/net/doorman.rs
@@ -186,6 +186,8 @@
     bad_depots: u64,
     accept_failures: u64,
     latest_timer: Time,
+    /// The longest that one turn kept everything else waiting.
+    longest_turn: Time,
 }
 
 /// Gathers the messages that one turn brings on one connection.
@@ -355,7 +357,9 @@
 
     /// One turn: waits for something to happen and takes it, then the timers that are due.
     fn turn(&mut self) -> io::Result<()> {
-        let until = self.timers.next().unwrap_or(self.now + SWEEP).saturating_sub(self.clock.now());
+        let began = self.clock.now();
+        self.figures.longest_turn = self.figures.longest_turn.max(began.saturating_sub(self.now));
+        let until = self.timers.next().unwrap_or(self.now + SWEEP).saturating_sub(began);
         let wait = if self.again.is_empty() && !self.more { until } else { 0 };
         let mut ready = std::mem::take(&mut self.ready);
         self.event_loop.wait(Duration::from_micros(wait), &mut ready)?;
@@ -489,7 +493,7 @@
         let broken = super::BROKEN_INVARIANTS.load(Ordering::Relaxed);
         info!(self.log, "figures"; "counts" => ?self.figures, "clients" => self.clients.len(),
               "links" => self.pool.len(), "open" => self.requests.len(), "broken_invariants" => broken);
-        self.figures.latest_timer = 0;
+        (self.figures.latest_timer, self.figures.longest_turn) = (0, 0);
         if let Some(registry) = &self.registry {
             registry.report(self.now, &self.membership.counts());
         }
--- a/src/product/mod.rs
+++ b/src/product/mod.rs
@@ -92,7 +92,7 @@
             answer: 600 * MS,
             check: 250 * MS,
             silence: 600 * MS,
-            spread: 300 * MS,
+            spread: 1_000 * MS,
             longest_pause: 3_000 * MS,
             restored: 10_000 * MS,
             snapshot: None,
--- a/src/registry/driver.rs
+++ b/src/registry/driver.rs
@@ -34,6 +34,8 @@
     watch: Option<u64>,
     /// The call for a page that is out, with the key that it begins at.
     page: Option<(u64, Vec<u8>)>,
+    /// The last call whose answer has come; its end is still to come and tells nothing more.
+    answered: u64,
     /// Something was asked, or has come.
     stirred: bool,
 }
@@ -97,7 +99,7 @@
 
     /// Whether there is more to do than one turn took.
     pub fn wants_turn(&self) -> bool {
-        self.more || self.session.has_updates()
+        self.more || self.session.has_updates() || self.session.is_taking_up()
     }
 
     /// Up to `most` updates of the list.
@@ -166,6 +168,7 @@
                             channel: None,
                             watch: None,
                             page: None,
+                            answered: 0,
                             stirred: false,
                         });
                     }
@@ -277,6 +280,7 @@
                     }
                 }
                 Heard::Message(call, bytes) => {
+                    link.answered = call;
                     let page = link.page.take_if(|p| p.0 == call);
                     let answer = RangeResponse::decode(bytes).map_err(|e| e.to_string());
                     let from = page.as_ref().map_or(self.reader.prefix.as_bytes(), |p| &p.1);
@@ -290,8 +294,8 @@
                     link.watch = None;
                     self.session.watch_ended(now, status, &mut self.actions);
                 }
+                Heard::Ended(call, status) if status.code == 0 && link.answered == call => {}
                 Heard::Ended(call, status) => {
-                    // A call whose answer has come is over for the session; it ignores its end.
                     let status = if status.code == 0 { Status::new(0, "no answer") } else { status };
                     self.session.failed(now, call, status, &mut self.actions);
                 }
--- a/src/registry/mod.rs
+++ b/src/registry/mod.rs
@@ -9,3 +9,5 @@
 pub mod record;
 pub mod session;
 pub mod snapshot;
+#[cfg(test)]
+mod tests;
--- a/src/registry/session.rs
+++ b/src/registry/session.rs
@@ -38,7 +38,13 @@
 /// Removals that are remembered, so that a late word of a key is known to be old.
 const REMOVED: usize = 4_096;
 /// Tries in a row before the budget holds the next one back.
-const BURST: f64 = 12.0;
+const BURST: f64 = 20.0;
+/// Tries that come back to the budget in the time of the longest pause.
+const REFILL: f64 = 4.0;
+/// Keys of a list that are taken up in one turn: a list of any length must not hold up everything else.
+const SLICE: usize = 1_000;
+/// After silence: found at another moment by each doorman already, so it is spread over less.
+const SILENCE_PART: Time = 5;
 /// Least pause after a try that failed.
 const LEAST_PAUSE: Time = 50_000;
 /// Bits of a process's number that are its create revision; above them the count of restores.
@@ -216,6 +222,8 @@
     process: u64,
     id: Option<Id>,
     depot: Option<Arc<Depot>>,
+    /// The list that last had it.
+    list: u64,
 }
 
 /// What an endpoint says that is not believed.
@@ -241,6 +249,16 @@
     staged: Vec<Item>,
     restarts: u32,
     restored: bool,
+    /// The list is whole and is being taken up.
+    taken: Option<Taken>,
+}
+
+/// A list that is being taken up.
+#[derive(Clone, Debug)]
+struct Taken {
+    left: std::vec::IntoIter<Item>,
+    keys: usize,
+    changes: usize,
 }
 
 #[derive(Clone, Debug)]
@@ -339,6 +357,7 @@
     budget: (f64, Time),
     confirmed: Option<Time>,
     numbers: u64,
+    lists: u64,
     figures: Figures,
     /// The fault that a test has planted.
     #[cfg(test)]
@@ -366,6 +385,7 @@
             budget: (BURST, now),
             confirmed: None,
             numbers: 0,
+            lists: 0,
             figures: Figures::default(),
             #[cfg(test)]
             fault: None,
@@ -429,6 +449,11 @@
         !self.updates.is_empty()
     }
 
+    /// Whether a list is being taken up, a slice at each tick.
+    pub fn is_taking_up(&self) -> bool {
+        matches!(&self.state, State::Listing(l) if l.taken.is_some())
+    }
+
     /// Whether a whole list has been taken and is being followed.
     pub fn is_watching(&self) -> bool {
         matches!(&self.state, State::Watching(w) if w.created)
@@ -482,6 +507,7 @@
         match &mut self.state {
             State::Resting { .. } => self.dial(now, actions),
             State::Dialing { .. } => self.fail(now, Why::Unreachable, actions),
+            State::Listing(l) if l.taken.is_some() => self.take_up(now, actions),
             State::Listing(_) => self.fail(now, Why::Silent, actions),
             State::Watching(w) if w.check.is_some() => self.fail(now, Why::Silent, actions),
             State::Watching(_) => self.check(now, actions),
@@ -561,7 +587,7 @@
     fn dial(&mut self, now: Time, actions: &mut Vec<Action>) {
         // A budget on tries, so that a registry that takes connections and drops them is not hammered.
         let refill =
-            2.0 * (now.saturating_sub(self.budget.1)) as f64 / self.settings.longest_pause.max(1) as f64;
+            REFILL * (now.saturating_sub(self.budget.1)) as f64 / self.settings.longest_pause.max(1) as f64;
         self.budget = ((self.budget.0 + refill).min(BURST), now);
         if self.budget.0 < 1.0 {
             let pause = self.settings.longest_pause / 2;
@@ -595,13 +621,16 @@
         let s = &self.settings;
         let pause = if why == Why::TooMany {
             s.longest_pause
-        } else if self.failures == 0 {
-            // All doormans may have lost it in this moment: their first tries are spread.
-            self.rng.random_range(0..=s.spread)
+        } else if (self.failures as usize) < self.order.len() {
+            // All doormans may have lost it in this moment: their first tries are spread. Each endpoint has its turn
+            // before pauses grow.
+            let part = if why == Why::Silent { SILENCE_PART } else { 1 };
+            self.rng.random_range(0..=s.spread / part)
         } else {
             let most = s.longest_pause.max(LEAST_PAUSE);
             let least = (s.spread / 2).clamp(LEAST_PAUSE, most);
-            let pause = least.saturating_mul(1 << self.failures.min(20)).min(most);
+            let rounds = self.failures / self.order.len().max(1) as u32;
+            let pause = least.saturating_mul(1 << rounds.min(20)).min(most);
             self.rng.random_range(pause / 4..=pause)
         };
         self.failures = self.failures.saturating_add(1);
@@ -636,6 +665,7 @@
             staged: Vec::new(),
             restarts,
             restored: false,
+            taken: None,
         }));
         self.ask_page(now, actions);
     }
@@ -742,41 +772,60 @@
         None
     }
 
-    /// Takes the list up: what is in it, and that nothing else is there.
+    /// Begins to take the list up: it is whole, so all of it may be believed.
     fn commit(&mut self, now: Time, actions: &mut Vec<Action>) {
-        let resting = State::Resting { until: now };
-        let State::Listing(l) = std::mem::replace(&mut self.state, resting) else { return };
-        let before = self.updates.len();
-        let Header { cluster, revision } = l.header;
-        if l.restored {
+        let State::Listing(l) = &mut self.state else { return };
+        let (left, restored) = (std::mem::take(&mut l.staged).into_iter(), l.restored);
+        l.taken = Some(Taken { keys: left.len(), left, changes: 0 });
+        l.until = now;
+        if restored {
             // Numbers start over: what they said of changes before means nothing now.
             self.restores += 1;
             self.removed.clear();
             self.removed_order.clear();
         }
-        let staged = |key: &[u8]| l.staged.binary_search_by(|i| (*i.key).cmp(key)).is_ok();
-        let gone: Vec<Arc<[u8]>> = self.known.keys().filter(|k| !staged(k)).cloned().collect();
-        #[cfg(test)]
-        let gone = if self.fault == Some(Fault::KeepsWhatIsGone) { Vec::new() } else { gone };
-        // Removals go ahead of all else: they must not wait.
-        for key in gone {
-            self.forget(&key, revision);
-        }
-        let keys = l.staged.len();
-        for item in l.staged {
-            let newer = self.known.get(&item.key).is_none_or(|k| k.modified < item.modified);
-            if newer || l.restored {
-                self.learn(item, l.restored, actions);
+        self.lists += 1;
+        self.take_up(now, actions);
+    }
+
+    /// Takes up a slice of the list; behind the last one, what it lacks is gone, and the watch begins.
+    fn take_up(&mut self, now: Time, actions: &mut Vec<Action>) {
+        let State::Listing(l) = &mut self.state else { return };
+        let Some(mut taken) = l.taken.take() else { return };
+        let (restored, Header { cluster, revision }) = (l.restored, l.header);
+        let before = self.updates.len();
+        for item in taken.left.by_ref().take(SLICE) {
+            let key = item.key.clone();
+            let newer = self.known.get(&key).is_none_or(|k| k.modified < item.modified);
+            if newer || restored {
+                self.learn(item, restored, actions);
+            }
+            if let Some(known) = self.known.get_mut(&key) {
+                known.list = self.lists;
             }
         }
+        let done = taken.left.len() == 0;
+        if done {
+            let lacks = |k: &(&Arc<[u8]>, &Known)| k.1.list != self.lists;
+            let gone: Vec<Arc<[u8]>> = self.known.iter().filter(lacks).map(|k| k.0.clone()).collect();
+            #[cfg(test)]
+            let gone = if self.fault == Some(Fault::KeepsWhatIsGone) { Vec::new() } else { gone };
+            gone.iter().for_each(|key| self.forget(key, revision));
+        }
+        taken.changes += self.updates.len() - before;
+        let State::Listing(l) = &mut self.state else { return };
+        if !done {
+            l.taken = Some(taken);
+            return;
+        }
+        let (link, endpoint, asked, began) = (l.link, l.endpoint, l.asked, l.began);
         self.cluster = Some(cluster);
-        self.seen = if l.restored { revision } else { self.seen.max(revision) };
+        self.seen = if restored { revision } else { self.seen.max(revision) };
         self.crowded = false;
         self.failures = 0;
         self.figures.lists += 1;
-        self.confirmed = Some(l.asked);
-        let changes = self.updates.len() - before;
-        let took = now.saturating_sub(l.began);
+        self.confirmed = Some(asked);
+        let (keys, changes, took) = (taken.keys, taken.changes, now.saturating_sub(began));
         actions.push(Action::Say(Notice::Listed { revision, keys, changes, took }));
         let watch = self.number() as i64;
         #[cfg(test)]
@@ -785,8 +834,8 @@
         let late = 0;
         actions.push(Action::Watch { watch, revision: revision + 1 + late });
         self.state = State::Watching(Box::new(Watching {
-            link: l.link,
-            endpoint: l.endpoint,
+            link,
+            endpoint,
             watch,
             created: false,
             revision,
@@ -825,7 +874,7 @@
                 None => Update::Close(id),
             });
         }
-        self.known.insert(key, Known { create, modified, process, id, depot });
+        self.known.insert(key, Known { create, modified, process, id, depot, list: self.lists });
     }
 
     /// Takes it that a key is there no more.
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -47,6 +47,14 @@
     serde_json::to_vec(&record).unwrap()
 }
 
+/// A box of another branch, which nothing is asked of.
+fn far(address: SocketAddr) -> Vec<u8> {
+    String::from_utf8(record(address, "small-box", State::Ready))
+        .unwrap()
+        .replace("branch", "hub")
+        .into_bytes()
+}
+
 fn key(id: &str) -> Vec<u8> {
     format!("{PREFIX}{id}").into_bytes()
 }
@@ -330,3 +338,23 @@
     assert_eq!(w.worked(since), ["box-1"]);
     w.judge(SECOND);
 }
+
+/// Guards the end of a call whose answer is still being worked on: it was taken for a failure once.
+#[test]
+fn a_list_of_many_pages_is_taken_in_slices_and_followed() {
+    let mut w = World::new("long", 1, "check_ms = 100, silence_ms = 300");
+    (0..3).for_each(|member| w.registry.fault(member, Fault::Down));
+    w.logs("connection lost");
+    w.registry.with(|s| {
+        for n in 0..3_000u16 {
+            let address = SocketAddr::from(([127, 1, (n >> 8) as u8, n as u8], 9));
+            s.put(&key(&format!("far-{n}")), &far(address), 0);
+        }
+    });
+    (0..3).for_each(|member| w.registry.fault(member, Fault::None));
+    let line = w.logs("list taken");
+    assert!(line.contains("changes: 3000") && line.contains("keys: 3002"), "{line}");
+    w.ask_for(SECOND);
+    w.judge(SECOND);
+    assert!(!w.lines.try_iter().any(|l| l.contains("connection lost") || l.contains("lists anew")));
+}
