A list from disk is unsure of every start until the registry tells it again; a bound on updates

Need: a box may have restarted while the doorman was down, and the cold rule binds from its start; and updates could gather faster than a turn takes them. While more updates wait than there may be keys, nothing more is read from the registry.

--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -225,9 +225,9 @@
         // Guards the cold rule: a new process is a cold one, also where its record does not tell its start.
         if reborn && entry.started <= old.started {
             entry.started = now.max(old.started + 1);
-        } else if !reborn && entry.process != 0 && old.process == entry.process {
-            // The same process can't have started anew; a start made up for it is kept.
-            entry.started = entry.started.max(old.started);
+        } else if !reborn && entry.process != 0 && entry.started == 0 {
+            // The same process can't have started anew; a start made up for it is kept until one is told.
+            entry.started = old.started;
         }
         if *old == entry {
             return;
--- a/src/net/doorman.rs
+++ b/src/net/doorman.rs
@@ -25,7 +25,7 @@
 use crate::product::{script, Product};
 use crate::registry::driver::Driver;
 use crate::registry::record::{self, Names};
-use crate::registry::session::Update;
+use crate::registry::session::{Started, Update};
 use crate::settings::Document;
 use crate::Router;
 use bytes::BytesMut;
--- a/src/net/doorman/news.rs
+++ b/src/net/doorman/news.rs
@@ -96,7 +96,7 @@
                     self.membership.close(self.now, &id);
                     Ok(())
                 }
-                Update::Put { id, depot, process, appeared } => {
+                Update::Put { id, depot, process, started } => {
                     let told = self.clock.of_unix_ms(depot.started_ms);
                     let entry = Entry {
                         id,
@@ -111,7 +111,11 @@
                         kind: depot.kind,
                         weight: depot.weight,
                         // Guards the cold rule where a record does not tell its depot's start.
-                        started: if appeared && depot.started_ms == 0 { self.now } else { told },
+                        started: match started {
+                            Started::Unsure => self.now,
+                            Started::NowUnlessTold if depot.started_ms == 0 => self.now,
+                            Started::NowUnlessTold | Started::AsTold => told,
+                        },
                         process,
                     };
                     self.membership.put(self.now, entry)
--- a/src/registry/driver.rs
+++ b/src/registry/driver.rs
@@ -144,7 +144,11 @@
             for action in std::mem::take(&mut self.actions) {
                 self.carry_out(now, event_loop, action);
             }
-            self.exchange(now);
+            // Nothing more is read while much of what has come waits to be taken: the registry's flow control holds
+            // it back, and the queue has a bound.
+            if self.session.backlog() <= self.settings.most_keys {
+                self.exchange(now);
+            }
             if self.actions.is_empty() {
                 self.more = self.link.as_ref().is_some_and(|l| l.stirred);
                 break;
--- a/src/registry/session.rs
+++ b/src/registry/session.rs
@@ -112,9 +112,8 @@
         depot: Arc<Depot>,
         /// Which process it is; a later one has a larger number.
         process: u64,
-        /// It was not there, or was another process, when a list had been taken already: it has just started,
-        /// for all that is known.
-        appeared: bool,
+        /// What to make of its start.
+        started: Started,
     },
     /// Nothing new for a depot, whose record can't be read.
     Close(Id),
@@ -122,6 +121,18 @@
     Gone(Id),
 }
 
+/// What is known of the start of a depot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Started {
+    /// What its record tells; long ago if that tells nothing.
+    AsTold,
+    /// What its record tells; now if that tells nothing: it was not there, or was another process, when a list had
+    /// been taken already.
+    NowUnlessTold,
+    /// Now, for all that is known: its record is from a list on disk, and may be long out of date.
+    Unsure,
+}
+
 /// What operators are told.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Notice {
@@ -449,6 +460,11 @@
         !self.updates.is_empty()
     }
 
+    /// How many updates wait to be taken.
+    pub fn backlog(&self) -> usize {
+        self.updates.len()
+    }
+
     /// Whether a list is being taken up, a slice at each tick.
     pub fn is_taking_up(&self) -> bool {
         matches!(&self.state, State::Listing(l) if l.taken.is_some())
@@ -796,7 +812,8 @@
         let before = self.updates.len();
         for item in taken.left.by_ref().take(SLICE) {
             let key = item.key.clone();
-            let newer = self.known.get(&key).is_none_or(|k| k.modified < item.modified);
+            // What was known from disk only is told again, now that it is sure.
+            let newer = self.known.get(&key).is_none_or(|k| k.modified < item.modified || k.list == 0);
             if newer || restored {
                 self.learn(item, restored, actions);
             }
@@ -848,6 +865,8 @@
     /// Takes a key as it is now.
     fn learn(&mut self, item: Item, restored: bool, actions: &mut Vec<Action>) {
         let Item { id, key, create, modified, depot } = item;
+        let unsure =
+            self.cluster.is_some() && self.figures.lists == 0 && !matches!(self.state, State::Listing(_));
         let depot = match depot {
             Ok(depot) => Some(depot),
             Err(why) => {
@@ -867,10 +886,15 @@
         };
         let new = (self.restores << CREATE_BITS) | (create & ((1 << CREATE_BITS) - 1));
         let known = self.known.get(&key).filter(same).map(|k| k.process);
-        let (process, appeared) = (known.unwrap_or(new), known.is_none() && self.cluster.is_some());
+        let process = known.unwrap_or(new);
+        let started = match known {
+            _ if unsure => Started::Unsure,
+            None if self.cluster.is_some() => Started::NowUnlessTold,
+            _ => Started::AsTold,
+        };
         if let Some(id) = id.clone() {
             self.updates.push_back(match depot.clone() {
-                Some(depot) => Update::Put { id, depot, process, appeared },
+                Some(depot) => Update::Put { id, depot, process, started },
                 None => Update::Close(id),
             });
         }
--- a/src/registry/session/tests.rs
+++ b/src/registry/session/tests.rs
@@ -169,11 +169,36 @@
     d.list(page(20, vec![item(2, Draining, 2, 15), item(3, Ready, 18, 18)]));
     let updates: Vec<Update> = d.session.take(9).collect();
     assert!(matches!(&updates[0], Update::Put { depot, process: 2, .. } if depot.state == Draining));
-    assert!(matches!(&updates[1], Update::Put { process: 18, appeared: true, .. }), "another process");
+    assert!(
+        matches!(&updates[1], Update::Put { process: 18, started: Started::NowUnlessTold, .. }),
+        "another process"
+    );
     assert!(matches!(&updates[2], Update::Gone(id) if &**id == "b1"));
     assert_eq!(updates.len(), 3);
 }
 
+/// Guards the cold rule: while nobody knows how old a list on disk is, any box may have started since.
+#[test]
+fn a_list_from_disk_is_unsure_of_all_starts_until_the_first_list_tells_them_again() {
+    let mut d = Desk::new(1);
+    let items = vec![item(1, Ready, 1, 1), item(2, Draining, 2, 5)];
+    d.session.resume(Saved { cluster: CLUSTER, revision: 9, items: items.clone() });
+    let started = |d: &mut Desk| -> Vec<Started> {
+        let of = |u| if let Update::Put { started, .. } = u { Some(started) } else { None };
+        d.session.take(usize::MAX).filter_map(of).collect()
+    };
+    assert_eq!(started(&mut d), [Started::Unsure; 2]);
+    // An older list than the one on disk is no better than a member that lags.
+    let call = d.dial();
+    d.session.listed(d.now, call, page(8, Vec::new()), &mut d.actions);
+    assert!(d.updates().is_empty() && d.session.keys() == 2);
+    d.list(page(12, [&items[..], &[item(3, Ready, 11, 11)]].concat()));
+    assert_eq!(started(&mut d), [Started::AsTold, Started::AsTold, Started::NowUnlessTold]);
+    d.cut();
+    d.list(page(12, items));
+    assert_eq!(d.updates(), ["b3 gone"], "told once");
+}
+
 #[test]
 fn repeated_late_and_foreign_answers_do_no_harm_and_what_cant_be_placed_leads_to_a_list() {
     let mut d = Desk::new(1);
