Purges: the core with its laws; what is in force merges by maximum

Need: doormans hear overlapping purges in different orders, twice, or as a list after a gap, and must end in the same state. Nothing uses it yet.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod membership;
 pub mod net;
 pub mod product;
+pub mod purges;
 pub mod registry;
 pub mod settings;
 
