Test: a drained hub gets no fills either

Need: the promise names sources as well as targets, and no test on sockets drained a source. Change: two hubs, both seen as sources, one drained; the checker reads who is named in via. Result: passes; with the drain left out it fails.

--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -464,3 +464,24 @@
     (0..3).for_each(|member| w.registry.fault(member, Fault::Down));
     assert!(!larchdale(&["ls"]).0);
 }
+
+#[test]
+fn a_drained_hub_is_no_source_of_fills_either() {
+    let mut w = World::new("source", 2, "");
+    let hubs: Vec<Depot> = (0..2).map(|n| Depot::start(&format!("hub-{n}"), &w.notes).unwrap()).collect();
+    let write = |w: &World, hub: &Depot, state| {
+        let value = String::from_utf8(record(hub.address, "parent", state)).unwrap().replace("branch", "hub");
+        w.registry.with(|s| s.put(&key(&hub.id), value.as_bytes(), 0));
+    };
+    hubs.iter().for_each(|hub| write(&w, hub, State::Ready));
+    let named = |w: &World, hub: &str| w.notes.lock().unwrap().iter().any(|a| a.via.as_deref() == Some(hub));
+    let until = Instant::now() + HANG;
+    while !(named(&w, "hub-0") && named(&w, "hub-1")) {
+        assert!(Instant::now() < until, "both hubs are sources");
+        w.ask_for(SECOND / 4);
+    }
+    write(&w, &hubs[0], State::Draining);
+    w.commits.push(Committed { at: Instant::now(), depot: "hub-0".into(), open: false });
+    w.ask_for(3 * SECOND / 2);
+    w.judge(SECOND);
+}
