Limits below one allow short bursts, and first limits fall with the routers that share

Change (Router::has_room, Router::members): below one a limit is kept on average, with two roots of it above for a moment at caches and parents; a first limit is twice the part up to four routers, and falls by the root of those who share beyond.

Both new tests fail without the change.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -42,8 +42,8 @@
 const MISS_PART: f64 = 0.35;
 /// Part of a location's work that its link in is built for: the misses, with room to spare.
 const LINK_PART: f64 = 0.5;
-/// A limit starts at this many times the router's share of what the server can do: others may be idle.
-const FIRST_LIMIT: f64 = 2.0;
+/// Roots of a limit that may be out above it for a moment, while its average keeps it.
+const BURST: f64 = 2.0;
 /// Microseconds over which a limit below one request is kept on average: some ten fills.
 const OUT_SPAN: f64 = 4e6;
 /// A late answer is the cache's when it was late this many times as often as the source; links strike both.
@@ -270,8 +270,10 @@
             self.serving[list] = all.filter(|s| serves(&s.1.member)).map(|s| s.0).collect();
         }
         for s in self.serving.concat() {
-            let fair = self.fair(s);
-            let limit = Some(self.servers[s].limit).filter(|&l| l > 0.0).unwrap_or(FIRST_LIMIT * fair);
+            let (fair, sharing) = (self.fair(s), self.sharing(&self.servers[s].member));
+            // Others may be idle, but the more of them share a server, the less: chance goes by the root.
+            let first = fair + fair * (BURST / sharing.sqrt()).min(1.0);
+            let limit = Some(self.servers[s].limit).filter(|&l| l > 0.0).unwrap_or(first);
             (self.servers[s].fair, self.servers[s].limit) = (fair, limit);
         }
     }
@@ -416,10 +418,18 @@
 
     /// Whether a server can take one more request of this router.
     /// Danger: a server shared by hundreds of routers bears less than one request of each at a time. A limit
-    /// below one is kept on average over some seconds, so that the fractions of all add up.
+    /// below one is kept on average over some seconds, so that the parts of all add up; and few of many are
+    /// busy at a time: kept to one request at once, each would pass objects on to caches that lack them, and
+    /// their fills by the parents to the origin. The origin refuses: it gets no bursts.
     fn has_room(&self, s: usize) -> bool {
         let server = &self.servers[s];
-        f64::from(server.out) < server.limit.max(1.0) && (server.limit >= 1.0 || self.usual(s) < server.limit)
+        let (out, limit) = (f64::from(server.out), server.limit);
+        let most = if server.member.role == Role::Origin { 1.0 } else { limit + BURST * limit.sqrt() };
+        if limit >= 1.0 {
+            out < limit
+        } else {
+            self.usual(s) < limit && out < most
+        }
     }
 
     /// Requests under way at a server, or through it, on average of late.
--- a/tests/many_routers.rs
+++ b/tests/many_routers.rs
@@ -112,6 +112,57 @@
     assert!((20..=400).contains(&came), "{came} fills under way at a parent for 20");
 }
 
+/// What each of the routers sends first, when all get `each` requests for other objects at one moment.
+fn sent_at_once(all: &mut [Router], each: u64) -> Vec<(String, String)> {
+    let mut sent = Vec::new();
+    for (n, r) in all.iter_mut().enumerate() {
+        for k in 0..each {
+            for action in ask(r, T0, &format!("{n}-{k}"), VIDEO, n as u64 * each + k) {
+                if let Action::Send { server, fetch: Some(fetch), .. } = action {
+                    sent.push((server.to_string(), fetch.source.to_string()));
+                }
+            }
+        }
+    }
+    sent
+}
+
+/// Guards against one request of a router at a cache or parent keeping its next one away: where a hundred share
+/// them, few are busy at a time, and what they pass on finds no copy and goes to the origin.
+#[test]
+fn a_router_with_two_requests_at_once_leaves_no_cache_or_parent_for_the_origin() {
+    let mut members = fleet();
+    members.retain(|m| m.role != Role::Parent || &*m.id == "parent-1");
+    members.retain(|m| m.role != Role::Cache || &*m.id == "cache-3-1");
+    members.iter_mut().filter(|m| m.role == Role::Parent).for_each(|m| m.weight = 130.0);
+    let sent = sent_at_once(&mut routers(10, &shared(Detail::All), &members), 2);
+    assert_eq!(sent.len(), 20);
+    assert!(sent.iter().all(|s| s == &("cache-3-1".into(), "parent-1".into())), "{sent:?}");
+}
+
+/// Guards against first limits that come to twice what a parent bears, where so many share it that all are busy.
+#[test]
+fn what_many_routers_have_under_way_at_first_comes_to_little_more_than_a_parent_bears() {
+    let mut members = fleet();
+    members.retain(|m| m.role != Role::Parent || &*m.id == "parent-1");
+    members.iter_mut().filter(|m| m.role == Role::Parent).for_each(|m| m.weight = 130.0);
+    let (count, seconds) = (20, 40);
+    let mut busy = 0;
+    for (n, r) in routers(count, &shared(Detail::All), &members).iter_mut().enumerate() {
+        for second in 0..seconds {
+            let id = format!("{n}-{second}");
+            let sent = ask(r, T0 + second * S, &id, VIDEO, n as u64 * 1000 + second);
+            let fills =
+                |a: &Action| matches!(a, Action::Send { fetch: Some(f), .. } if &*f.source == "parent-1");
+            busy += usize::from(sent.iter().any(fills));
+            tell(r, T0 + (second + 1) * S, Event::Outcome(end(&id, 0, Code::NeverSent)));
+        }
+    }
+    let part = 130.0 / f64::from(ROUTERS) * f64::from(count);
+    let mean = busy as f64 / seconds as f64;
+    assert!((0.8 * part..1.4 * part).contains(&mean), "{mean} under way for a part of {part}");
+}
+
 #[test]
 fn where_nothing_is_told_a_full_parent_does_not_close_the_caches() {
     let mut members = fleet();
