What was purged is filled as far as the origin bears it, and its limit follows soon

So the line stood at the origin: 250 fills a second went through parents that had room, each asked the origin, and all came too late. The router heard of it late: with tells = hit no answer names the origin, so only fills straight from it (20 a second of 100 routers) were evidence, and the parents were blamed.

Lines at fault: send_or_end counted an attempt at the origin only after a parent had said that it lacks the object; route asked parents for held copies only when the origin was known to be late; origin_timing took notes that are never told where tells = hit.

Change: an attempt for an object with a purge in force counts at the origin too; without room there the parent is asked for what it holds; what was asked on is evidence on the origin, also where notes are not told; of that evidence one of many routers sees little, so its limit rises by the root of those who share.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -38,8 +38,8 @@
 const ALL_ERRORS: u32 = 3;
 /// Least rate used to share out blame, so that two servers without a record share it evenly.
 const BLAME_FLOOR: f64 = 0.02;
-/// Part of the work of parents that goes on to the origin.
-const MISS_PART: f64 = 0.35;
+/// Part of the work of parents that the origin bears at first sight.
+const MISS_PART: f64 = 0.5;
 /// Part of a location's work that its link in is built for: the misses, with room to spare.
 const LINK_PART: f64 = 0.5;
 /// Roots of a limit that may be out above it for a moment, while its average keeps it.
@@ -477,13 +477,17 @@
 
     /// More requests under way at a server, or through it, while answers are in time, fewer when late.
     fn room(&mut self, s: usize, in_time: bool) {
+        self.room_by(s, in_time, MOST_RISE);
+    }
+
+    fn room_by(&mut self, s: usize, in_time: bool, most_rise: f64) {
         let next = f64::from(self.servers[s].out + u32::from(self.servers[s].limit >= 1.0));
         let used = self.usual(s).max(next);
         let (now, server) = (self.now, &mut self.servers[s]);
         if in_time {
             server.share = (server.share + SHARE_STEP).min(1.0);
             if used >= server.limit / 2.0 {
-                server.limit += (1.0 / server.limit).min(server.limit * MOST_RISE);
+                server.limit += (1.0 / server.limit).min(server.limit * most_rise);
             }
         } else if server.late > LATE_BORNE && now >= server.cut.saturating_add(LIMIT_PAUSE) {
             server.share = (server.share * LIMIT_CUT).max(LEAST_SHARE);
@@ -592,8 +596,9 @@
         let role = self.servers[server].member.role;
         let work = self.mean_work(open.request.class);
         let (number, sent, patience) = (open.attempts, self.now, self.patience(&open));
-        let origin = self.origin().filter(|_| open.lacked && source.is_some());
         let held_only = fetch.as_ref().is_some_and(|f| f.held_only);
+        let asks_on = open.lacked || !held_only && self.purged_at(&open.request).is_some();
+        let origin = self.origin().filter(|_| asks_on && source.is_some());
         let attempt = Attempt { number, server, source, sent, patience, held_only, freed: false, origin };
         for s in attempt.parties() {
             let cold = self.cold_budget(s).is_some();
@@ -640,10 +645,13 @@
             false => self.pick_source(open),
         };
         // Danger: a slow origin behind the parents holds up even what they have. Then they are asked for
-        // what they hold, and only as much of the rest goes on to the origin as it answers in time.
+        // what they hold, and only as much of the rest goes on to the origin as it answers in time. So it is
+        // with what was purged: when all copies go void, each fill asks the origin, and in the line before it
+        // all of them come too late.
         let crowded = self.origin().filter(|&o| {
             let behind = source.is_some_and(|s| self.servers[s].member.role == Role::Parent);
-            behind && !class.uncacheable && self.servers[o].late > LATE_BORNE
+            let void = || self.purged_at(&open.request).is_some() && !self.has_room(o);
+            behind && !class.uncacheable && (self.servers[o].late > LATE_BORNE || void())
         });
         if open.lacked && crowded.is_some_and(|o| !self.has_room(o)) {
             return None;
@@ -790,12 +798,19 @@
 
     /// What came by way of the origin is late by the origin, unless its source is late with its own copies.
     fn origin_timing(&mut self, attempt: Attempt, note: Note, late: bool) -> bool {
-        let Some(origin) = self.origin().filter(|_| note == Note::FilledByOrigin) else { return false };
+        // Where answers do not tell that a fill came by way of the origin, the module has sent it there.
+        let untold = attempt.origin.is_some() && self.settings.detail != Detail::All;
+        let by_way = note == Note::FilledByOrigin || note == Note::Filled && untold;
+        let Some(origin) = self.origin().filter(|_| by_way) else { return false };
         let rate = &mut self.servers[origin].late;
         *rate += STEP * (f64::from(u8::from(late)) - *rate);
         let its = !late || self.origin_is_later(origin, attempt.source.unwrap_or(attempt.server));
         if its && (late || attempt.origin.is_some() || attempt.source == Some(origin)) {
-            self.room(origin, !late);
+            // Danger: of what the origin answers behind the parents, one of many routers sees little: what it
+            // may ask on for would take longer to follow than copies are void.
+            let many = self.sharing(&self.servers[origin].member).sqrt() / BURST;
+            let faster = if attempt.origin.is_some() { many.max(1.0) } else { 1.0 };
+            self.room_by(origin, !late, MOST_RISE * faster);
         }
         its && late
     }
--- a/src/net/doorman/news.rs
+++ b/src/net/doorman/news.rs
@@ -142,6 +142,7 @@
             Command::Depots { whole, records } => self.depots(whole, records),
             Command::Purge { what, when_ms } => {
                 let age = self.now.saturating_sub(self.clock.of_unix_ms(when_ms));
+                debug!(self.log, "purge"; "what" => ?what, "age_ms" => age / 1000);
                 self.purges.push_back((self.now, what));
                 let (object, group) = match what {
                     Purge::Object(object) => (Some(object), 0),
--- a/tests/many_routers.rs
+++ b/tests/many_routers.rs
@@ -163,6 +163,54 @@
     assert!((0.8 * part..1.4 * part).contains(&mean), "{mean} under way for a part of {part}");
 }
 
+/// Guards the origin from all fills of all routers at once, when all copies go void: through parents that have
+/// room they would stand in line there, and come too late. What is asked on follows from the routers' number,
+/// and grows soon where the answers are in time.
+#[test]
+fn after_a_purge_of_everything_routers_ask_the_origin_for_their_parts_and_more_while_it_answers_in_time() {
+    let mut members = fleet();
+    members.iter_mut().filter(|m| m.role == Role::Parent).for_each(|m| m.weight = 100.0);
+    let (count, rounds) = (20, 16);
+    let mut asked_on = [[0; 2]; 2];
+    for (n, r) in routers(count, &shared(Detail::Hits), &members).iter_mut().enumerate() {
+        for group in 0..32 {
+            tell(r, T0, Event::Purged { object: None, group, age: 100 * MS });
+        }
+        let late = n % 2; // half of the routers are answered late
+        for round in 0..rounds {
+            let now = T0 + (1 + round) * S / 2;
+            let mut fills = Vec::new();
+            for k in 0..4 {
+                let id = format!("{n}-{round}-{k}");
+                let mut actions = ask(r, now, &id, VIDEO, (n as u64 * rounds + round) * 4 + k);
+                let held_only = |actions: &[Action]| {
+                    let fetch = |a: &Action| matches!(a, Action::Send { fetch: Some(f), .. } if f.held_only);
+                    actions.iter().any(fetch)
+                };
+                let attempt = u32::from(held_only(&actions));
+                if attempt == 1 {
+                    actions = finish(r, now, &id, 0, Code::Miss); // no parent holds it
+                }
+                let on = |a: &Action| matches!(a, Action::Send { fetch: Some(f), .. } if f.source.starts_with("parent"));
+                if actions.iter().any(on) {
+                    asked_on[late][(2 * round / rounds) as usize] += 1;
+                    fills.push((id, attempt));
+                }
+            }
+            for (id, attempt) in fills {
+                let mut outcome = end(&id, attempt, Code::Served);
+                (outcome.note, outcome.took) = (Note::Filled, [200 * MS, 2 * S][late]);
+                tell(r, now + 400 * MS, Event::Outcome(outcome));
+            }
+        }
+    }
+    let half = count as usize / 2 * 4 * rounds as usize / 2;
+    let [in_time, late] = asked_on;
+    assert!(late[0] < half / 3 && late[1] < half / 3, "late, and yet asked on for: {late:?} of {half}");
+    assert!(late[1] > 0, "what is late must still be asked for now and then");
+    assert!(in_time[0] < half * 3 / 4 && in_time[1] > in_time[0] * 5 / 4, "in time: {in_time:?} of {half}");
+}
+
 #[test]
 fn where_nothing_is_told_a_full_parent_does_not_close_the_caches() {
     let mut members = fleet();
