What the origin answers straight is evidence on it, and weighs more where few are seen

Counted over all routers: the largest parent is replaced at second 8, its objects go to parents that lack them, and the line at the origin grows: record edits 14 of 14 late in second 7, 17 of 17 in second 8, then all timed out until second 14, while 60 to 120 fills a second went on standing in line there. Each router saw 0.6 answers of the origin by second 8. Lines at fault: timing() took lateness only of hits and fills, so that a late write changed nothing, a timed-out one only the verdict; and with steps of 0.15 a router that sees one answer of the origin in four seconds makes up its mind when the line has passed.

Change: a write's lateness or time-out counts for the origin; a step there grows by the root of those who share (0.5 at most, so that two good answers take it back). Up to four routers the step is as before.

The new test fails without the change.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -802,14 +802,12 @@
         let untold = attempt.origin.is_some() && self.settings.detail != Detail::All;
         let by_way = note == Note::FilledByOrigin || note == Note::Filled && untold;
         let Some(origin) = self.origin().filter(|_| by_way) else { return false };
-        let rate = &mut self.servers[origin].late;
-        *rate += STEP * (f64::from(u8::from(late)) - *rate);
+        self.note_late(origin, late);
         let its = !late || self.origin_is_later(origin, attempt.source.unwrap_or(attempt.server));
         if its && (late || attempt.origin.is_some() || attempt.source == Some(origin)) {
             // Danger: of what the origin answers behind the parents, one of many routers sees little: what it
             // may ask on for would take longer to follow than copies are void.
-            let many = self.sharing(&self.servers[origin].member).sqrt() / BURST;
-            let faster = if attempt.origin.is_some() { many.max(1.0) } else { 1.0 };
+            let faster = if attempt.origin.is_some() { self.rarity(origin) } else { 1.0 };
             self.room_by(origin, !late, MOST_RISE * faster);
         }
         its && late
@@ -830,15 +828,28 @@
         let filled = matches!(note, Note::Filled | Note::Joined);
         let source = attempt.source.filter(|&s| s != cache && !hit);
         let silent = self.settings.detail == Detail::Silent;
-        for (s, counts) in [(Some(cache), hit || silent), (source, filled || silent)] {
+        // Danger: writes show best how long the line at the origin is; one router of many sees few of them.
+        let direct = self.servers[cache].member.role == Role::Origin;
+        for (s, counts) in [(Some(cache), hit || silent || direct), (source, filled || silent)] {
             if let (Some(s), true) = (s, counts) {
-                let rate = &mut self.servers[s].late;
-                *rate += STEP * (f64::from(u8::from(late)) - *rate);
+                self.note_late(s, late);
             }
         }
         self.adjust(cache, source, late);
     }
 
+    /// How much more one answer of a server weighs, where so many share it that each of them sees few.
+    fn rarity(&self, s: usize) -> f64 {
+        (self.sharing(&self.servers[s].member).sqrt() / BURST).max(1.0)
+    }
+
+    fn note_late(&mut self, s: usize, late: bool) {
+        let origin = self.servers[s].member.role == Role::Origin;
+        let step = if origin { (STEP * self.rarity(s)).min(SURE_STEP) } else { STEP };
+        let rate = &mut self.servers[s].late;
+        *rate += step * (f64::from(u8::from(late)) - *rate);
+    }
+
     fn adjust(&mut self, cache: usize, source: Option<usize>, late: bool) {
         let Some(source) = source else { return self.room(cache, !late) };
         if !late {
@@ -894,6 +905,9 @@
             }
             (Note::SourceLacks, _) => {}
             _ if role == Role::Origin => {
+                if outcome.code == Code::TimedOut {
+                    self.note_late(attempt.server, true);
+                }
                 self.verdict(attempt.server, STEP, true);
                 self.room(attempt.server, false);
             }
--- a/tests/many_routers.rs
+++ b/tests/many_routers.rs
@@ -211,6 +211,31 @@
     assert!(in_time[0] < half * 3 / 4 && in_time[1] > in_time[0] * 5 / 4, "in time: {in_time:?} of {half}");
 }
 
+/// Guards against a line at the origin that each of many routers learns of only when it has passed: a write that
+/// comes late is evidence, and weighs more where few are seen. One is enough for many routers to ask parents
+/// first for what they hold; of a few routers each sees more, and one late write does not make up its mind.
+#[test]
+fn one_late_write_tells_one_of_many_routers_of_the_line_at_the_origin() {
+    for (count, code, careful) in [
+        (ROUTERS, Code::Served, true),
+        (ROUTERS, Code::TimedOut, true),
+        (4, Code::Served, false),
+        (0, Code::Served, false),
+    ] {
+        let settings = Settings { routers: count, ..shared(Detail::Hits) };
+        let mut r = router_with(settings, fleet());
+        let (_, source, _) = sent(&ask(&mut r, T0, "write", ORDER, 1));
+        assert_eq!(source, "", "a write goes straight to the origin");
+        let mut outcome = end("write", 0, code);
+        (outcome.took, outcome.last) = (2 * S, true);
+        tell(&mut r, T0 + 2 * S, Event::Outcome(outcome));
+        let held_only = ask(&mut r, T0 + 2 * S, "fill", VIDEO, 2)
+            .iter()
+            .any(|a| matches!(a, Action::Send { fetch: Some(f), .. } if f.held_only));
+        assert_eq!(held_only, careful, "{count} routers, {code:?}");
+    }
+}
+
 #[test]
 fn where_nothing_is_told_a_full_parent_does_not_close_the_caches() {
     let mut members = fleet();
