A least part of a server, so that absurd counts of routers shut none out

Need: the settings' counts divide what a server bears; with a count far too large the part is below what the average of requests under way falls to within a minute, and the router refuses nearly all. Line at fault: Router::fair, which had no lower bound. Probe: 200 requests a second apart with 4,294,967,295 routers told, 7 and 6 of 100 filled; with a least part of 0.001 transfers more than 15 of each hundred.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -62,6 +62,8 @@
 const COLD_SHARE: f64 = 0.5;
 /// Size, in transfers at full pace, of a server of which nothing is known: the least worth its name.
 const LEAST_SIZE: f64 = 2.0;
+/// Least part of a server, in transfers: for tens of thousands of routers, and yet used now and then.
+const LEAST_PART: f64 = 0.001;
 /// Sending time in microseconds of a class until one is learned.
 const FIRST_WORK: f64 = 200_000.0;
 /// Share that one new observation has in a learned mean.
@@ -451,7 +453,8 @@
         let member = &self.servers[s].member;
         let sum: f64 = self.serving(Role::Parent).iter().map(|&p| self.size(p)).sum();
         let size = if member.role == Role::Origin { MISS_PART * sum } else { self.size(s) };
-        size.max(LEAST_SIZE) / self.sharing(member)
+        // Danger: a count far too large would leave a part that no average comes below again.
+        (size.max(LEAST_SIZE) / self.sharing(member)).max(LEAST_PART)
     }
 
     /// The routers that may send to a server.
--- a/tests/many_routers.rs
+++ b/tests/many_routers.rs
@@ -236,6 +236,30 @@
     }
 }
 
+/// Guards against counts that can't be true shutting a router off for good: each request still has its one end,
+/// and caches and parents are used now and then.
+#[test]
+fn absurd_counts_of_routers_leave_every_server_in_use_now_and_then() {
+    for (routers, by_zone) in [(u32::MAX, vec![u32::MAX; 5]), (0, vec![]), (1, vec![0; 900])] {
+        let settings = Settings { routers, routers_by_zone: by_zone, ..shared(Detail::Hits) };
+        let mut r = router_with(settings, fleet());
+        let mut fills = [0; 2];
+        for n in 0..200u64 {
+            let (now, id) = (T0 + n * S, format!("{n}"));
+            let actions = ask(&mut r, now, &id, VIDEO, n);
+            assert!(sends(&actions) != refused(&actions), "one or the other: {actions:?}");
+            if sends(&actions) {
+                let (server, source, _) = sent(&actions);
+                fills[(n / 100) as usize] += u32::from(server != source);
+                let mut outcome = end(&id, 0, Code::Served);
+                outcome.note = Note::Filled;
+                tell(&mut r, now + 50 * MS, Event::Outcome(outcome));
+            }
+        }
+        assert!(fills[0] > 15 && fills[1] > 15, "{fills:?} of 100 each with {routers} routers");
+    }
+}
+
 #[test]
 fn where_nothing_is_told_a_full_parent_does_not_close_the_caches() {
     let mut members = fleet();
