Door for operators with figures, on its own listener; a second process can listen too

A line is read, answered once and the half closed; 16 places of their own, the oldest silent caller gives way. Figures are counted where requests are taken and end and where an attempt's last byte is written. Ruled out: a thread of its own (it would say yes for a loop that stands still).

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod cli;
 pub mod interface;
 mod logic;
+pub mod management;
 pub mod membership;
 pub mod net;
 pub mod product;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -499,6 +499,11 @@
         }
     }
 
+    /// How many listed servers are avoided now.
+    pub fn avoided(&self) -> usize {
+        self.serving.concat().into_iter().filter(|&s| !self.usable(s)).count()
+    }
+
     fn usable(&self, s: usize) -> bool {
         let server = &self.servers[s];
         !server.ejected || (self.now >= server.until && !server.on_trial)
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -14,6 +14,8 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where operators connect, if anywhere.
+    pub management: Option<SocketAddr>,
     /// For random numbers; new with each start.
     pub seed: u64,
     /// The file that it was read from; SIGHUP has it read again.
@@ -61,6 +63,8 @@
     #[serde(default)]
     name: String,
     listen: String,
+    #[serde(default)]
+    management: String,
     seed: String,
     limits: Limits,
     channel: String,
@@ -132,7 +136,12 @@
     /// Reads the file that the environment names.
     pub fn from_env() -> Result<Config, ConfigError> {
         let path = PathBuf::from(std::env::var_os("PROXY_CONFIG").ok_or(ConfigError::NotNamed)?);
-        Config::read(path)
+        let mut config = Config::read(path)?;
+        // A second process beside this one may have the same file, and has an address of its own.
+        if let Some(own) = std::env::var("PROXY_MANAGEMENT").ok().filter(|a| !a.is_empty()) {
+            config.management = Some(address("PROXY_MANAGEMENT", own)?);
+        }
+        Ok(config)
     }
 
     /// Reads a file.
@@ -151,6 +160,10 @@
         Ok(Config {
             name: file.name,
             listen: address("listen", file.listen)?,
+            management: match file.management {
+                none if none.is_empty() => None,
+                some => Some(address("management", some)?),
+            },
             seed: u64::from_str_radix(&file.seed, 16).map_err(|_| ConfigError::Value("seed", file.seed))?,
             path,
             limits: file.limits,
--- a/src/net/doorman.rs
+++ b/src/net/doorman.rs
@@ -3,6 +3,7 @@
 //! It owns the open requests and their attempts. Everything is done within one turn of one loop on one thread.
 
 mod clients;
+mod management;
 mod news;
 #[cfg(test)]
 mod tests;
@@ -14,13 +15,16 @@
 use super::connection::{Callbacks, Closed, Connection, State};
 use super::event_loop::{EventLoop, Ready, Timers, SIGNALS};
 use super::feed::Feed;
+use super::listener::listen;
 use super::pool::{Choice, Link, Pool};
 use super::proto::command_channel::{self, Command, Purge, Record};
 use super::proto::frames::{self, ClientMessage};
 use super::proto::resp::{self, Answer, Word};
 use super::proto::{Ask, Malformed, Reply};
+use self::management::Door;
 use crate::interface::{Action, Code, Event, Fetch, Id, Listed, Note, Outcome, Report, Request, Time};
 use crate::invariant;
+use crate::management::{End, Figures as Counts};
 use crate::membership::{Connections, Entry, Membership};
 use crate::product::{script, Product};
 use crate::registry::driver::Driver;
@@ -143,6 +147,8 @@
     done: bool,
     attempts: u32,
     attempt: Option<Attempt>,
+    /// Where its class is counted.
+    counted: usize,
     /// Connections on which an attempt was given up.
     spent: Vec<Token>,
 }
@@ -157,6 +163,8 @@
     on: Token,
     /// Where its command ends in all that was queued on the connection; `None`: it waits for a dial.
     end: Option<u64>,
+    /// It was written whole, and counted.
+    whole: bool,
 }
 
 /// The way out after SIGTERM.
@@ -261,6 +269,9 @@
     again: Vec<Token>,
     draining: Option<Drain>,
     figures: Figures,
+    /// What operators are told has been counted.
+    counts: Counts,
+    door: Option<Door>,
     /// All that the module has heard.
     #[cfg(test)]
     told: Vec<Event>,
@@ -280,7 +291,7 @@
         log: Logger,
     ) -> io::Result<Self> {
         let mut event_loop = EventLoop::new()?;
-        let mut listener = TcpListener::bind(config.listen)?;
+        let mut listener = listen(config.listen, config.management.is_some())?;
         let token = event_loop.add(&mut listener, Interest::READABLE)?;
         let router = Router::new(config.settings.for_router(), config.seed);
         let bounds = Bounds::of(&config.limits);
@@ -316,10 +327,18 @@
             again: Vec::new(),
             draining: None,
             figures: Figures::default(),
+            counts: Counts::default(),
+            door: None,
             #[cfg(test)]
             told: Vec::new(),
             settings: config.settings,
         };
+        for class in &doorman.settings.classes {
+            doorman.counts.class(&class.name);
+        }
+        if let Some(address) = config.management {
+            doorman.door = Some(Door::open(address, &mut doorman.event_loop)?);
+        }
         if let Some((path, product)) = product {
             doorman.product_path = Some(path);
             if let Some(registry) = product.registry {
@@ -364,6 +383,10 @@
         let mut ready = std::mem::take(&mut self.ready);
         self.event_loop.wait(Duration::from_micros(wait), &mut ready)?;
         self.now = self.clock.now();
+        // Operators first: what they are told must not wait for what clients have brought.
+        if let Some(door) = &self.door {
+            ready.sort_by_key(|r| !door.owns(r.token));
+        }
         for token in std::mem::take(&mut self.again) {
             self.ready(Ready { token, readable: false, writable: false });
         }
@@ -392,6 +415,8 @@
             if told.end {
                 self.drain();
             }
+        } else if self.door.as_ref().is_some_and(|d| d.owns(event.token)) {
+            self.door_ready(event);
         } else if event.token == self.listener.0 {
             self.accept();
         } else if self.clients.contains_key(&event.token) {
@@ -487,6 +512,11 @@
             self.lose_link(token);
         }
         self.sweep_clients();
+        if let Some(door) = &mut self.door {
+            door.sweep(self.now);
+        }
+        let open = self.requests.values().filter(|o| !o.done).count();
+        invariant!(self.counts.concurrent() == open as u64, "what is taken is open or has ended");
     }
 
     fn report(&mut self) {
--- a/src/net/doorman/clients.rs
+++ b/src/net/doorman/clients.rs
@@ -194,7 +194,7 @@
 
     fn client_message(&mut self, token: Token, message: ClientMessage) {
         let draining = self.draining.is_some();
-        let ready = !draining && self.pool.is_listed();
+        let ready = self.takes_clients();
         let Some(client) = self.clients.get_mut(&token) else { return };
         match message {
             ClientMessage::Ready { stream } => client.conn.queue(frames::ready(stream, ready)),
@@ -220,6 +220,8 @@
         let class = self.settings.classes.iter().position(|c| c.name == ask.route);
         invariant!(class.is_some(), "a request was screened before it is taken");
         let Some(class) = class else { return };
+        let counted = self.counts.class(&ask.route);
+        self.counts.took();
         let id: Id = ask.trace.as_str().into();
         if self.requests.contains_key(&id) {
             // Guards the request that has the name already: its attempts and answers go by it. This one may be
@@ -227,7 +229,7 @@
             if let Some(client) = self.clients.get_mut(&token) {
                 client.conn.queue(frames::answer(stream, &Reply::Failed));
             }
-            return;
+            return self.counts.ended(counted, End::Error);
         }
         self.figures.requests += 1;
         debug!(self.log, "request"; "request" => %id, "class" => class, "patience_ms" => ask.patience_ms,
@@ -254,6 +256,7 @@
             done: false,
             attempts: 0,
             attempt: None,
+            counted,
             spent: Vec::new(),
         };
         self.requests.insert(id.clone(), open);
@@ -274,11 +277,13 @@
         open.done = true;
         let (token, stream, ended) = (open.client, open.stream, open.attempt.is_none());
         debug!(self.log, "answer"; "request" => %id, "reply" => reply.name());
-        match reply {
-            Reply::Served(_) | Reply::StillGood => self.figures.served += 1,
-            Reply::Refused { .. } => self.figures.refused += 1,
-            Reply::Failed => self.figures.failed += 1,
-        }
+        let (end, count) = match reply {
+            Reply::Served(_) | Reply::StillGood => (End::Success, &mut self.figures.served),
+            Reply::Refused { .. } => (End::Overload, &mut self.figures.refused),
+            Reply::Failed => (End::Error, &mut self.figures.failed),
+        };
+        *count += 1;
+        self.counts.ended(open.counted, end);
         if ended {
             self.forget(id);
         }
@@ -335,6 +340,7 @@
         let Some(open) = self.requests.get_mut(&id).filter(|o| !o.done) else { return };
         open.done = true;
         self.figures.left += 1;
+        self.counts.ended(open.counted, End::Error);
         if open.attempt.is_none() {
             self.forget(&id);
         }
--- a/src/net/doorman/upstream.rs
+++ b/src/net/doorman/upstream.rs
@@ -2,6 +2,14 @@
 
 use super::*;
 
+impl Attempt {
+    /// Whether its last byte is now written and was not before.
+    fn is_whole(&mut self, written: u64) -> bool {
+        let whole = self.end.is_some_and(|end| written >= end);
+        whole && !std::mem::replace(&mut self.whole, true)
+    }
+}
+
 impl Doorman {
     pub(super) fn send(&mut self, id: Id, depot: Id, until: Time, fetch: Option<Fetch>) {
         let Some(open) = self.requests.get_mut(&id) else { return };
@@ -35,7 +43,7 @@
         };
         let Some(open) = self.requests.get_mut(&id) else { return };
         let to = depot.clone();
-        open.attempt = Some(Attempt { number, depot, fetch, sent: self.now, until, on, end: None });
+        open.attempt = Some(Attempt { number, depot, fetch, sent: self.now, until, on, end: None, whole: false });
         if matches!(choice, Choice::Use(_)) {
             self.write_want(&id);
             if let Some(address) = self.pool.wants_spare(&to) {
@@ -80,15 +88,24 @@
         link.conn.queue(bytes);
         link.conn.flush(self.now);
         link.ask(id.clone(), number, self.now);
-        let (end, closed) = (link.conn.queued(), !link.conn.is_open());
+        let (end, written, closed) = (link.conn.queued(), link.conn.written(), !link.conn.is_open());
         if let Some(attempt) = self.requests.get_mut(id).and_then(|o| o.attempt.as_mut()) {
             attempt.end = Some(end);
+            self.counts.dispatches += u64::from(attempt.is_whole(written));
         }
         if closed {
             self.lose_link(token);
         }
     }
 
+    /// Counts attempts whose last byte has been written since.
+    fn count_whole(&mut self, ids: impl IntoIterator<Item = Id>, written: u64) {
+        for id in ids {
+            let attempt = self.requests.get_mut(&id).and_then(|o| o.attempt.as_mut());
+            self.counts.dispatches += u64::from(attempt.is_some_and(|a| a.is_whole(written)));
+        }
+    }
+
     /// Gives up the attempt that is out. The depot is told before anything else can be sent for the request.
     pub(super) fn give_up(&mut self, id: &Id, code: Code) {
         let Some(open) = self.requests.get_mut(id) else { return };
@@ -96,6 +113,8 @@
         let (token, end) = (attempt.on, attempt.end);
         open.spent.push(token);
         let mut code = code;
+        let written = self.pool.link(token).map_or(0, |l| l.conn.written());
+        self.count_whole([id.clone()], written);
         if let Some(link) = self.pool.link(token) {
             link.waiting.retain(|w| w != id);
             if let Some(end) = end {
@@ -179,10 +198,16 @@
         let token = event.token;
         let Some(link) = self.pool.link(token) else { return };
         let mut inbound = Inbound::new(resp::decode);
+        let behind = link.conn.backlog() > 0;
         link.conn.ready(self.now, event.readable, event.writable, &mut inbound);
         if inbound.heard {
             link.heard(self.now);
         }
+        if behind {
+            let (ids, written) = (link.out.keys().cloned().collect::<Vec<_>>(), link.conn.written());
+            self.count_whole(ids, written);
+        }
+        let Some(link) = self.pool.link(token) else { return };
         if inbound.opened {
             for id in std::mem::take(&mut link.waiting) {
                 self.write_want(&id);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -8,6 +8,7 @@
 pub mod event_loop;
 pub mod feed;
 pub mod grpc;
+pub mod listener;
 pub mod pool;
 pub mod proto;
 #[cfg(test)]
