Standby and active: one state machine for drain, replacement and SIGTERM

Ruled out: closing the listener in standby (resets its queue, and 'active' could fail), a flag beside the SIGTERM path.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod cli;
 pub mod interface;
+pub mod lifecycle;
 mod logic;
 pub mod management;
 pub mod membership;
--- a/src/net/doorman.rs
+++ b/src/net/doorman.rs
@@ -3,12 +3,14 @@
 //! It owns the open requests and their attempts. Everything is done within one turn of one loop on one thread.
 
 mod clients;
+mod lifecycle;
 mod management;
 mod news;
 #[cfg(test)]
 mod tests;
 mod upstream;
 
+use self::management::Door;
 use super::bounds::Bounds;
 use super::clock::Clock;
 use super::config::Config;
@@ -21,9 +23,9 @@
 use super::proto::frames::{self, ClientMessage};
 use super::proto::resp::{self, Answer, Word};
 use super::proto::{Ask, Malformed, Reply};
-use self::management::Door;
 use crate::interface::{Action, Code, Event, Fetch, Id, Listed, Note, Outcome, Report, Request, Time};
 use crate::invariant;
+use crate::lifecycle::{Event as Life, Lifecycle};
 use crate::management::{End, Figures as Counts};
 use crate::membership::{Connections, Entry, Membership};
 use crate::product::{script, Product};
@@ -77,14 +79,6 @@
 /// Connections taken in one turn, and the pause after an accept that failed for want of descriptors.
 const ACCEPTS: usize = 64;
 const ACCEPT_PAUSE: Time = 20 * MS;
-/// After SIGTERM: new connections keep coming for 0.4 s and requests on them for 0.2 s more; until then, and
-/// somewhat longer, everything goes on as before.
-const LINGER: Time = 900 * MS;
-/// After SIGTERM: the longest deadline, counted as 3 s where it is longer, and 0.7 s more is the soonest end.
-const LONGEST_DRAIN: Time = 3_000 * MS;
-const DRAIN_SPARE: Time = 400 * MS;
-/// What the last answers of a drain have to reach their clients.
-const DRAIN_FLUSH: Time = 200 * MS;
 /// Most depots that the list may hold.
 const MOST_DEPOTS: usize = 65_536;
 /// Changes of the list taken from a registry, and told to the module, in one turn.
@@ -167,15 +161,6 @@
     whole: bool,
 }
 
-/// The way out after SIGTERM.
-#[derive(Clone, Copy, Debug)]
-struct Drain {
-    /// Until then everything goes on as before.
-    linger: Time,
-    /// When the process ends at the latest.
-    stop: Time,
-}
-
 /// What is counted, for the log.
 #[derive(Debug, Default)]
 struct Figures {
@@ -267,7 +252,7 @@
     ready: Vec<Ready>,
     /// Connections with more to read than one turn took.
     again: Vec<Token>,
-    draining: Option<Drain>,
+    life: Lifecycle,
     figures: Figures,
     /// What operators are told has been counted.
     counts: Counts,
@@ -325,7 +310,7 @@
             actions: Vec::new(),
             ready: Vec::new(),
             again: Vec::new(),
-            draining: None,
+            life: Lifecycle::default(),
             figures: Figures::default(),
             counts: Counts::default(),
             door: None,
@@ -413,7 +398,7 @@
                 self.reload();
             }
             if told.end {
-                self.drain();
+                self.terminate();
             }
         } else if self.door.as_ref().is_some_and(|d| d.owns(event.token)) {
             self.door_ready(event);
@@ -528,43 +513,4 @@
             registry.report(self.now, &self.membership.counts());
         }
     }
-
-    // ---- the end ----
-
-    fn drain(&mut self) {
-        if self.draining.is_some() {
-            return;
-        }
-        info!(self.log, "told to end, draining"; "open" => self.requests.len());
-        let longest = self.settings.classes.iter().map(|c| c.deadline_us).max().unwrap_or(LONGEST_DRAIN);
-        let last_answers = self.now + longest.min(LONGEST_DRAIN) + DRAIN_SPARE;
-        self.timers.set(last_answers, Due::DrainEnd);
-        self.draining = Some(Drain { linger: self.now + LINGER, stop: last_answers + DRAIN_FLUSH });
-        let tokens: Vec<Token> = self.clients.keys().copied().collect();
-        for token in tokens {
-            if let Some(client) = self.clients.get_mut(&token) {
-                client.told_leaving = true;
-                client.conn.queue(frames::leaving());
-                client.conn.flush(self.now);
-            }
-            self.client_written(token);
-        }
-    }
-
-    /// The process may be killed any moment now: what is still open is answered while it can be.
-    fn end_drain(&mut self) {
-        let ids: Vec<Id> = self.requests.iter().filter(|r| !r.1.done).map(|r| r.0.clone()).collect();
-        for id in ids {
-            self.answer(&id, Reply::Failed);
-            self.events.push_back(Event::ClientGone { request: id });
-        }
-    }
-
-    fn is_over(&self) -> bool {
-        let Some(drain) = self.draining else { return false };
-        let answered = self.requests.values().all(|o| o.done)
-            && self.clients.values().all(|c| c.conn.backlog() == 0)
-            && self.again.is_empty();
-        self.now >= drain.stop || (self.now >= drain.linger && answered)
-    }
 }
--- a/src/net/doorman/clients.rs
+++ b/src/net/doorman/clients.rs
@@ -70,6 +70,9 @@
 
 impl Doorman {
     pub(super) fn accept(&mut self) {
+        if !self.life.accepts() {
+            return;
+        }
         for _ in 0..ACCEPTS {
             match self.listener.1.accept() {
                 Ok((mut stream, _)) => {
@@ -145,7 +148,9 @@
         let since = |t: Time| now.saturating_sub(t);
         let over = |c: &Client| {
             let stalled = c.conn.backlog() > 0 && since(c.conn.moved) >= STALLED;
-            stalled || (c.is_idle() && since(c.used) >= CLIENT_IDLE)
+            let leaves = self.life.closes(now, c.told_leaving, since(c.used)) && !c.conn.is_partial();
+            let never = self.life.ends_all(now) && c.open.is_empty();
+            stalled || (c.is_idle() && (since(c.used) >= CLIENT_IDLE || leaves || never))
         };
         let mut ended: Vec<Token> = self.clients.iter().filter(|c| over(c.1)).map(|c| *c.0).collect();
         let held: usize = self.clients.values().map(|c| c.conn.held()).sum();
@@ -193,8 +198,7 @@
     }
 
     fn client_message(&mut self, token: Token, message: ClientMessage) {
-        let draining = self.draining.is_some();
-        let ready = self.takes_clients();
+        let ready = self.life.is_ready();
         let Some(client) = self.clients.get_mut(&token) else { return };
         match message {
             ClientMessage::Ready { stream } => client.conn.queue(frames::ready(stream, ready)),
@@ -204,9 +208,8 @@
                 }
             }
             ClientMessage::Request { stream, ask } => {
-                if draining && !client.told_leaving {
-                    client.told_leaving = true;
-                    client.conn.queue(frames::leaving());
+                if self.life.sends_away() {
+                    self.send_away(token);
                 }
                 self.request(token, stream, *ask);
             }
@@ -245,7 +248,8 @@
             budget,
             size_kb: ask.size_kb,
         };
-        let full = self.requests.len() >= self.settings.limits.max_open.max(1)
+        let full = !self.life.begins(self.now)
+            || self.requests.len() >= self.settings.limits.max_open.max(1)
             || self.bodies + ask.body.len() > self.bounds.bodies;
         self.bodies += ask.body.len();
         let open = Open {
--- a/src/net/doorman/management.rs
+++ b/src/net/doorman/management.rs
@@ -34,15 +34,21 @@
         Ok(Door { token, listener, callers: FxHashMap::default(), places: Callers::default() })
     }
 
+    /// Where it listens.
+    #[cfg(test)]
+    pub(super) fn address(&self) -> SocketAddr {
+        self.listener.local_addr().expect("it listens")
+    }
+
     /// Whether what became ready is the door's.
     pub(super) fn owns(&self, token: Token) -> bool {
         token == self.token || self.callers.contains_key(&token)
     }
 
-    fn accept(&mut self, now: Time, event_loop: &mut EventLoop) {
-        // A turn that takes this many has closed as many others: those behind them come in the next one.
+    /// Takes who has come; `true`: there may be more.
+    fn accept(&mut self, now: Time, event_loop: &mut EventLoop) -> bool {
         for _ in 0..TAKEN {
-            let Ok((mut stream, _)) = self.listener.accept() else { return };
+            let Ok((mut stream, _)) = self.listener.accept() else { return false };
             let interest = Interest::READABLE | Interest::WRITABLE;
             let Ok(token) = event_loop.add(&mut stream, interest) else { continue };
             if let Some(gone) = self.places.come(token, now) {
@@ -50,6 +56,7 @@
             }
             self.callers.insert(token, Caller { stream, said: Vec::new(), answer: None });
         }
+        true
     }
 
     fn leave(&mut self, token: Token) {
@@ -128,7 +135,9 @@
     pub(super) fn door_ready(&mut self, event: Ready) {
         let Some(mut door) = self.door.take() else { return };
         if event.token == door.token {
-            door.accept(self.now, &mut self.event_loop);
+            if door.accept(self.now, &mut self.event_loop) {
+                self.again.push(event.token);
+            }
         } else {
             if event.writable {
                 door.write(event.token);
@@ -146,16 +155,19 @@
     fn called(&mut self, call: Call) -> String {
         debug!(self.log, "operator"; "call" => ?call);
         match call {
-            Call::Status if self.takes_clients() => "done serving\n".to_owned(),
-            Call::Status => "error not serving\n".to_owned(),
+            Call::Status if self.life.takes_clients() => "done serving\n".to_owned(),
+            Call::Status => format!("error not serving: {:?}\n", self.life.phase()).to_lowercase(),
             Call::Stats => self.counts.render(self.gauges()),
-            Call::Standby | Call::Active => "error not yet known\n".to_owned(),
+            Call::Standby => self.commanded(Life::Standby),
+            Call::Active => self.commanded(Life::Active),
         }
     }
 
-    /// Whether this process takes clients.
-    pub(super) fn takes_clients(&self) -> bool {
-        self.draining.is_none() && self.pool.is_listed()
+    fn commanded(&mut self, event: Life) -> String {
+        match self.live(event) {
+            Ok(()) => format!("done {:?}\n", self.life.phase()).to_lowercase(),
+            Err(e) => format!("error {e}\n"),
+        }
     }
 
     fn gauges(&self) -> Gauges {
--- a/src/net/doorman/news.rs
+++ b/src/net/doorman/news.rs
@@ -193,6 +193,7 @@
             members.push(change.member);
         }
         self.events.push_back(Event::Members { complete: false, members });
+        let _ = self.live(Life::Listed(self.pool.is_listed()));
     }
 
     fn entry(&self, record: Record) -> Entry {
--- a/src/net/doorman/tests.rs
+++ b/src/net/doorman/tests.rs
@@ -82,7 +82,7 @@
         let nodes = serde_json::json!({"generation": 1, "reset": true,
             "instances": [entry(CACHE, &cache, "box"), entry(ORIGIN, &origin, "archive")]});
         let config = serde_json::json!({
-            "name": "t", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
+            "name": "t", "listen": "127.0.0.1:0", "management": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "channel": channel.local_addr().unwrap().to_string(),
             "known": {"cursor": 41, "cmds": [{"cursor": 41, "nodes": nodes}]}, "settings": settings()});
@@ -659,12 +659,14 @@
     let ask = frame(1, 0, &fields(&[]));
     client.put(&ask);
     assert_eq!(w.frame(&mut client), (2, 0, vec![20, 0]));
-    w.doorman.drain();
+    w.doorman.terminate();
     assert_eq!(w.frame(&mut client).0, 3);
     client.put(&ask);
     assert_eq!(w.frame(&mut client), (2, 0, vec![50, 0]));
     let mut w = World::new();
-    w.doorman.pool = Pool::new(32, 8, 8, 13_500_000);
+    w.relist(|e| e.listed = Listed::Gone);
+    w.doorman.membership.remove(w.doorman.now, ORIGIN);
+    w.doorman.tell_members(usize::MAX);
     let mut client = w.client();
     client.put(&ask);
     assert_eq!(w.frame(&mut client), (2, 0, vec![50, 0]));
@@ -706,12 +708,12 @@
 fn after_sigterm_all_that_comes_in_time_is_served_and_then_the_program_ends() {
     let mut w = World::new();
     let (mut client, mut cache, _) = w.asked();
-    w.doorman.drain();
+    w.doorman.terminate();
     assert_eq!(w.frame(&mut client), (3, 0, vec![]));
     let mut late = w.client();
     late.put(&request(1, 2, "clip"));
     assert_eq!(w.command(&mut cache)[1], trace(2));
-    w.skip(LINGER + MS);
+    w.skip(1_000 * MS);
     assert!(!w.doorman.is_over(), "two answers are owed");
     for number in [1, 2] {
         cache.put(&answer(&trace(number), "ok", "-", "x"));
@@ -728,7 +730,7 @@
     let mut client = w.client();
     client.put(&request(1, 1, "clip"));
     w.until("the request", |d| (!d.requests.is_empty()).then_some(()));
-    w.doorman.drain();
+    w.doorman.terminate();
     w.doorman.end_drain();
     w.doorman.settle();
     assert_eq!(w.frame(&mut client).0, 3);
@@ -900,3 +902,141 @@
     assert_eq!(w.frame(&mut client), (8, 1, b"\x32\x01\x05pause\x00\x042000".to_vec()));
     assert_eq!(w.doorman.bodies, most);
 }
+
+// ---- the door for operators ----
+
+impl World {
+    fn caller(&mut self) -> Peer {
+        let address = self.doorman.door.as_ref().unwrap().address();
+        Peer::new(StdStream::connect(address).unwrap())
+    }
+
+    /// All that a caller is answered, up to the close.
+    fn told(&mut self, caller: &mut Peer) -> String {
+        self.ended(caller);
+        String::from_utf8(caller.got.to_vec()).unwrap()
+    }
+
+    fn call(&mut self, line: &str) -> String {
+        let mut caller = self.caller();
+        caller.put(line.as_bytes());
+        self.told(&mut caller)
+    }
+}
+
+#[test]
+fn the_door_answers_one_line_and_what_is_no_call_changes_nothing() {
+    let mut w = World::new();
+    assert_eq!(w.call("status\r\n"), "done serving\n");
+    for line in ["\n", "Standby\n", "standby now\n", &"standby".repeat(20), &"x".repeat(100_000)] {
+        let answer = w.call(line);
+        assert!(
+            answer.starts_with("error ") && answer.ends_with('\n') && answer.lines().count() == 1,
+            "{answer}"
+        );
+    }
+    // In pieces; and one who closes its half behind the line still hears.
+    let mut caller = w.caller();
+    for byte in b"status\n" {
+        caller.put(&[*byte]);
+        w.doorman.turn().unwrap();
+    }
+    caller.stream.shutdown(std::net::Shutdown::Write).unwrap();
+    assert_eq!(w.told(&mut caller), "done serving\n");
+    // Half a call and a close is no call.
+    let mut caller = w.caller();
+    caller.put(b"standby");
+    caller.stream.shutdown(std::net::Shutdown::Write).unwrap();
+    assert_eq!(w.told(&mut caller), "");
+    assert_eq!(w.call("status\nstandby\n"), "done serving\n");
+    assert_eq!(w.call("status\n"), "done serving\n");
+}
+
+#[test]
+fn callers_that_say_nothing_keep_nobody_out_and_clients_take_no_place_of_the_door() {
+    let mut w = World::new();
+    let silent: Vec<Peer> = (0..40).map(|_| w.caller()).collect();
+    let clients: Vec<Peer> = (0..40).map(|_| w.client()).collect();
+    assert_eq!(w.call("status\n"), "done serving\n");
+    w.skip(crate::management::PATIENCE + SWEEP);
+    for mut caller in silent {
+        w.ended(&mut caller);
+    }
+    drop(clients);
+}
+
+#[test]
+fn figures_count_each_request_once_and_attempts_when_written() {
+    let mut w = World::new();
+    let (mut client, mut cache, _) = w.asked();
+    let stats = w.call("stats\n");
+    assert!(
+        stats.contains("proxy_concurrent 1\n") && stats.contains("proxy_dispatches_total 1\n"),
+        "{stats}"
+    );
+    assert!(
+        stats.contains("proxy_targets 2\nproxy_targets_disabled 0\n") && stats.ends_with("\nend\n"),
+        "{stats}"
+    );
+    cache.put(&answer(&trace(1), "ok", "-", "x"));
+    assert_eq!(w.frame(&mut client).0, 8);
+    client.put(&request(2, 2, "page"));
+    w.command(&mut cache);
+    client.put(&frame(9, 2, &[]));
+    w.until("the client's leaving", |d| (d.counts.concurrent() == 0).then_some(()));
+    let stats = w.call("stats\n");
+    for line in [
+        "proxy_replies_total{type=\"clip\",status=\"success\"} 1\n",
+        "proxy_replies_total{type=\"clip\",status=\"error\"} 0\n",
+        "proxy_replies_total{type=\"page\",status=\"error\"} 1\n",
+        "proxy_replies_total{type=\"edit\",status=\"overload\"} 0\n",
+        "proxy_dispatches_total 2\n",
+        "proxy_concurrent 0\n",
+    ] {
+        assert!(stats.contains(line), "{line}{stats}");
+    }
+}
+
+// ---- drain ----
+
+#[test]
+fn standby_empties_the_doorman_without_losing_a_request_and_active_takes_clients_again() {
+    let mut w = World::new();
+    let (mut busy, mut cache, _) = w.asked();
+    let mut idle = w.client();
+    idle.put(&frame(1, 5, &[0]));
+    assert_eq!(w.frame(&mut idle), (2, 5, vec![20, 0]));
+    assert_eq!(w.call("standby\n"), "done standby\n");
+    assert_eq!(w.call("standby\n"), "done standby\n");
+    assert_eq!(w.call("status\n"), "error not serving: standby\n");
+    assert_eq!((w.frame(&mut busy).0, w.frame(&mut idle).0), (3, 3));
+    // What still comes is served, and its connection then closed as the others are.
+    let mut late = w.client();
+    late.put(&frame(1, 6, &[0]));
+    let answer_late = w.frame(&mut late);
+    assert!(answer_late.0 == 2 && answer_late.2[0] != 20, "{answer_late:?}");
+    late.put(&request(7, 2, "clip"));
+    w.command(&mut cache);
+    w.skip(crate::lifecycle::LEAVES_AFTER + SWEEP);
+    w.ended(&mut idle);
+    for number in [1, 2] {
+        cache.put(&answer(&trace(number), "ok", "-", "x"));
+    }
+    assert_eq!((w.frame(&mut busy).0, w.frame(&mut late).0, w.frame(&mut late).0), (8, 3, 8));
+    w.skip(crate::lifecycle::LEAVES_AFTER + SWEEP);
+    w.ended(&mut busy);
+    w.ended(&mut late);
+    // Much later a request is refused at once, and its connection closed.
+    w.skip(2_000 * MS);
+    let mut last = w.client();
+    last.put(&request(1, 3, "clip"));
+    assert_eq!(w.frame(&mut last).0, 3);
+    assert_eq!(w.frame(&mut last).2[0], 50);
+    assert_eq!(w.call("active\n"), "done serving\n");
+    assert_eq!(w.call("status\n"), "done serving\n");
+    let mut new = w.client();
+    new.put(&request(1, 4, "clip"));
+    assert_eq!(w.command(&mut cache)[1], trace(4));
+    w.doorman.terminate();
+    assert!(w.call("active\n").starts_with("error stopping"));
+}
--- a/src/net/doorman/upstream.rs
+++ b/src/net/doorman/upstream.rs
@@ -43,7 +43,8 @@
         };
         let Some(open) = self.requests.get_mut(&id) else { return };
         let to = depot.clone();
-        open.attempt = Some(Attempt { number, depot, fetch, sent: self.now, until, on, end: None, whole: false });
+        open.attempt =
+            Some(Attempt { number, depot, fetch, sent: self.now, until, on, end: None, whole: false });
         if matches!(choice, Choice::Use(_)) {
             self.write_want(&id);
             if let Some(address) = self.pool.wants_spare(&to) {
