New settings are taken over whole at SIGHUP, with classes under numbers that do not shift

Ruled out: bad files being taken (-5 and the missing key were turned down before as well); a new Router (forgets the depots). Change: checked whole, keys compared with the running file, one event Settings of the module; open requests keep class and the smaller number of attempts; a dropped name is served for 1.5 s, then refused, then unknown.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -55,7 +55,7 @@
 }
 
 /// One class of requests.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Class {
     /// How long a copy is fresh; 0: no limit.
     pub fresh: Time,
@@ -273,6 +273,9 @@
         /// The entries.
         members: Vec<Member>,
     },
+    /// Other settings. A class keeps its number; one that stands at a number for the first time is new. Requests
+    /// that are open keep their class, and the smaller number of attempts.
+    Settings(Box<Settings>),
     /// The call for the server list failed or its subscription broke.
     WatchFailed,
     /// A client asks.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -149,6 +149,7 @@
     deadline: Time,
     work: f64,
     attempts: u32,
+    most: u32,
     out: Option<Attempt>,
     tried: Vec<usize>,
     bad_sources: Vec<usize>,
@@ -200,6 +201,7 @@
         }
         match event {
             Event::Members { complete, members } => self.members(complete, members),
+            Event::Settings(settings) => self.retune(*settings),
             Event::WatchFailed => self.watching = false,
             Event::Request(request) => self.request(request, actions),
             Event::Outcome(outcome) => self.outcome(outcome, actions),
@@ -228,6 +230,15 @@
         }
     }
 
+    fn retune(&mut self, settings: Settings) {
+        let old = std::mem::replace(&mut self.settings, settings);
+        self.work.resize(self.settings.classes.len(), 0.0);
+        let classes = old.classes.iter().zip(&self.settings.classes);
+        let changed = classes.zip(&mut self.work).filter(|(c, _)| c.0 != c.1);
+        changed.for_each(|(_, work)| *work = 0.0);
+        self.members(false, Vec::new()); // what each server bears follows the settings
+    }
+
     fn chance(&mut self) -> f64 {
         self.draws += 1;
         xxh3_64_with_seed(&self.draws.to_le_bytes(), self.seed) as f64 / u64::MAX as f64
@@ -589,7 +600,7 @@
         }
         self.retry_tokens = (self.retry_tokens + RETRY_EARNED).min(RETRY_SAVED);
         let deadline = self.now.saturating_add(request.budget);
-        let open = Open { deadline, work, request, ..Open::default() };
+        let open = Open { deadline, work, request, most: self.settings.max_attempts, ..Open::default() };
         if let Some(&home) = self.order(Role::Cache, open.request.object).first() {
             self.servers[home].load = self.load(home) + open.work;
             self.servers[home].loaded = self.now;
@@ -773,7 +784,8 @@
             return self.give_up(open, actions);
         }
         let in_time = self.now as f64 + self.mean_work(open.request.class) < open.deadline as f64;
-        let more = open.attempts < self.settings.max_attempts && outcome.code != Code::NeverSent;
+        let most = self.settings.max_attempts.min(open.most);
+        let more = open.attempts < most && outcome.code != Code::NeverSent;
         // Danger: when much fails at once, retries would multiply the load on what is left.
         if !in_time || !more || (self.retry_tokens < 1.0 && !free) {
             return self.give_up(open, actions);
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,8 +1,9 @@
 //! The configuration: a JSON file named by `PROXY_CONFIG`.
 
 use super::proto::command_channel::{Command, Purge, Record, State};
-use crate::settings::Document;
+use crate::settings::{self, Document};
 use serde::Deserialize;
+use std::collections::BTreeSet;
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -30,6 +31,8 @@
     pub known: Vec<Command>,
     /// The settings.
     pub settings: Document,
+    /// Every key that the file has.
+    pub keys: BTreeSet<String>,
 }
 
 /// Why a configuration can't be used, in one line.
@@ -43,6 +46,10 @@
     NotJson(PathBuf, serde_json::Error),
     /// A value makes no sense.
     Value(&'static str, String),
+    /// The running configuration has a key that this one lacks.
+    Missing(String),
+    /// A change that a running doorman can't follow.
+    TakesRestart(&'static str),
 }
 
 impl fmt::Display for ConfigError {
@@ -52,6 +59,18 @@
             ConfigError::Unreadable(path, e) => write!(f, "can't read {}: {e}", path.display()),
             ConfigError::NotJson(path, e) => write!(f, "{} is not a configuration: {e}", path.display()),
             ConfigError::Value(what, value) => write!(f, "configuration: bad {what}: '{value}'"),
+            ConfigError::Missing(key) => {
+                write!(
+                    f,
+                    "configuration: '{key}' is missing, which the running one has; write the file whole"
+                )
+            }
+            ConfigError::TakesRestart(what) => {
+                write!(
+                    f,
+                    "configuration: {what} differs from the running one; start the doorman anew for that"
+                )
+            }
         }
     }
 }
@@ -150,13 +169,23 @@
         Config::parse(&text, path)
     }
 
+    /// Whether this configuration can take the place of a running one.
+    pub fn follows(&self, settings: &Document, keys: &BTreeSet<String>) -> Result<(), ConfigError> {
+        if let Some(key) = keys.difference(&self.keys).next() {
+            return Err(ConfigError::Missing(key.clone()));
+        }
+        self.settings.takes_restart(settings).map_or(Ok(()), |what| Err(ConfigError::TakesRestart(what)))
+    }
+
     /// Reads a configuration; `path` is for messages.
     pub fn parse(text: &str, path: PathBuf) -> Result<Config, ConfigError> {
-        let file: File = serde_json::from_str(text).map_err(|e| ConfigError::NotJson(path.clone(), e))?;
+        let not_json = |e| ConfigError::NotJson(path.clone(), e);
+        let file: File = serde_json::from_str(text).map_err(not_json)?;
+        let keys = settings::keys(&serde_json::from_str(text).map_err(not_json)?);
         let settings = file.settings;
         let command = |event: KnownEvent| known(event, &settings);
         let known = file.known.cmds.into_iter().map(command).collect::<Result<Vec<_>, _>>()?;
-        check(&settings)?;
+        settings.check().map_err(|(what, value)| ConfigError::Value(what, value))?;
         Ok(Config {
             name: file.name,
             listen: address("listen", file.listen)?,
@@ -171,31 +200,11 @@
             cursor: file.known.cursor,
             known,
             settings,
+            keys,
         })
     }
 }
 
-/// Figures without which nothing could be served.
-fn check(settings: &Document) -> Result<(), ConfigError> {
-    let (limits, bad) = (&settings.limits, |what| Err(ConfigError::Value(what, "none".to_owned())));
-    if settings.classes.is_empty() {
-        return bad("settings.classes");
-    }
-    if limits.multiplex == 0 {
-        return bad("settings.limits.multiplex");
-    }
-    if limits.max_attempts == 0 {
-        return bad("settings.limits.max-attempts");
-    }
-    if limits.dial_timeout_us == 0 {
-        return bad("settings.limits.dial-timeout-us");
-    }
-    if limits.conn_idle_us == 0 {
-        return bad("settings.limits.conn-idle-us");
-    }
-    Ok(())
-}
-
 fn address(what: &'static str, text: String) -> Result<SocketAddr, ConfigError> {
     text.parse().map_err(|_| ConfigError::Value(what, text))
 }
--- a/src/net/doorman.rs
+++ b/src/net/doorman.rs
@@ -13,7 +13,7 @@
 use self::management::Door;
 use super::bounds::Bounds;
 use super::clock::Clock;
-use super::config::Config;
+use super::config::{Config, Limits};
 use super::connection::{Callbacks, Closed, Connection, State};
 use super::event_loop::{EventLoop, Ready, Timers, SIGNALS};
 use super::feed::Feed;
@@ -23,7 +23,9 @@
 use super::proto::frames::{self, ClientMessage};
 use super::proto::resp::{self, Answer, Word};
 use super::proto::{Ask, Malformed, Reply};
-use crate::interface::{Action, Code, Event, Fetch, Id, Listed, Note, Outcome, Report, Request, Time};
+use crate::interface::{
+    Action, Code, Effect, Event, Fetch, Id, Listed, Note, Outcome, Report, Request, Time,
+};
 use crate::invariant;
 use crate::lifecycle::{Event as Life, Lifecycle};
 use crate::management::{End, Figures as Counts};
@@ -32,14 +34,14 @@
 use crate::registry::driver::Driver;
 use crate::registry::record::{self, Names};
 use crate::registry::session::{Started, Update};
-use crate::settings::Document;
+use crate::settings::{Classes, Document, Named};
 use crate::Router;
 use bytes::BytesMut;
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Token};
 use rustc_hash::{FxHashMap, FxHashSet};
 use slog::{debug, info, warn, Logger};
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -140,7 +142,10 @@
     /// It has its final answer, or nobody waits for one.
     done: bool,
     attempts: u32,
+    /// The most that it may make.
+    most: u32,
     attempt: Option<Attempt>,
+    class: usize,
     /// Where its class is counted.
     counted: usize,
     /// Connections on which an attempt was given up.
@@ -227,7 +232,11 @@
     listen: SocketAddr,
     config_path: PathBuf,
     product_path: Option<PathBuf>,
+    /// Every key of the running configuration.
+    keys: BTreeSet<String>,
+    limits: Limits,
     settings: Document,
+    classes: Classes,
     router: Router,
     event_loop: EventLoop,
     timers: Timers<Due>,
@@ -278,10 +287,10 @@
         let mut event_loop = EventLoop::new()?;
         let mut listener = listen(config.listen, config.management.is_some())?;
         let token = event_loop.add(&mut listener, Interest::READABLE)?;
-        let router = Router::new(config.settings.for_router(), config.seed);
+        let mut classes = Classes::default();
+        classes.adopt(clock.now(), &config.settings);
+        let router = Router::new(classes.for_router(&config.settings), config.seed);
         let bounds = Bounds::of(&config.limits);
-        // Somewhat before the depots close it: a want must not cross their close.
-        let longest_rest = config.settings.limits.conn_idle_us / 10 * 9;
         let mut doorman = Doorman {
             now: clock.now(),
             log,
@@ -290,6 +299,9 @@
             listen: config.listen,
             config_path: config.path,
             product_path: None,
+            keys: config.keys,
+            limits: config.limits,
+            classes,
             router,
             event_loop,
             timers: Timers::default(),
@@ -302,7 +314,7 @@
             clients: FxHashMap::default(),
             accept_later: false,
             membership: Membership::new(MOST_DEPOTS),
-            pool: Pool::new(config.settings.limits.multiplex, bounds.upstream, MOST_EACH, longest_rest),
+            pool: Pool::new(config.settings.limits.multiplex, bounds.upstream, MOST_EACH, Time::MAX),
             requests: FxHashMap::default(),
             bodies: 0,
             purges: VecDeque::new(),
@@ -318,9 +330,8 @@
             told: Vec::new(),
             settings: config.settings,
         };
-        for class in &doorman.settings.classes {
-            doorman.counts.class(&class.name);
-        }
+        doorman.adopt_classes();
+        doorman.follow_limits();
         if let Some(address) = config.management {
             doorman.door = Some(Door::open(address, &mut doorman.event_loop)?);
         }
--- a/src/net/doorman/clients.rs
+++ b/src/net/doorman/clients.rs
@@ -9,7 +9,7 @@
     fn screen(
         &mut self,
         messages: Vec<ClientMessage>,
-        settings: &Document,
+        fits: impl Fn(&Ask) -> Result<(), Malformed>,
     ) -> Result<Vec<ClientMessage>, Malformed> {
         let mut sound: Vec<ClientMessage> = Vec::with_capacity(messages.len());
         let mut new: FxHashMap<u32, usize> = FxHashMap::default();
@@ -40,7 +40,7 @@
                     if open > STREAMS {
                         return Err(Malformed("too many open requests"));
                     }
-                    fits(ask, settings)?;
+                    fits(ask)?;
                     new.insert(*stream, sound.len());
                 }
             }
@@ -51,9 +51,13 @@
 }
 
 /// Whether a request is one that the settings know and that its client can mean.
-fn fits(ask: &Ask, settings: &Document) -> Result<(), Malformed> {
-    let class = settings.classes.iter().find(|c| c.name == ask.route).ok_or(Malformed("unknown route"))?;
-    let longest = class.deadline_us.saturating_mul(OUT_OF_RANGE);
+fn fits(ask: &Ask, settings: &Document, named: Named) -> Result<(), Malformed> {
+    let (class, deadline) = match named {
+        Named::Class(_, deadline, class) => (class, deadline),
+        Named::Dropped => return Ok(()),
+        Named::Unknown => return Err(Malformed("unknown route")),
+    };
+    let longest = deadline.saturating_mul(OUT_OF_RANGE);
     if ask.patience_ms == 0 || ask.patience_ms.saturating_mul(MS) > longest {
         return Err(Malformed("patience out of range"));
     }
@@ -62,7 +66,7 @@
     if settings.domain.flow_kb_per_s > 0.0 && sending_us > longest as f64 {
         return Err(Malformed("size out of range"));
     }
-    if class.semantics == "deduplicated" && ask.nonce.is_none() {
+    if class.effect == Effect::Keyed && ask.nonce.is_none() {
         return Err(Malformed("a keyed request without its key"));
     }
     Ok(())
@@ -183,7 +187,9 @@
         }
         let sound = match inbound.error {
             Some(e) => Err(e),
-            None => client.screen(inbound.messages, &self.settings),
+            None => client.screen(inbound.messages, |ask| {
+                fits(ask, &self.settings, self.classes.named(self.now, &ask.route))
+            }),
         };
         let messages = match sound {
             Ok(messages) => messages,
@@ -220,11 +226,17 @@
     }
 
     fn request(&mut self, token: Token, stream: u32, ask: Ask) {
-        let class = self.settings.classes.iter().position(|c| c.name == ask.route);
-        invariant!(class.is_some(), "a request was screened before it is taken");
-        let Some(class) = class else { return };
+        let named = self.classes.named(self.now, &ask.route);
+        invariant!(named != Named::Unknown, "a request was screened before it is taken");
         let counted = self.counts.class(&ask.route);
         self.counts.took();
+        let Named::Class(class, ..) = named else {
+            // Its class was dropped: nobody asks for it again, whenever.
+            if let Some(client) = self.clients.get_mut(&token) {
+                client.conn.queue(frames::answer(stream, &Reply::Refused { pause_ms: 0 }));
+            }
+            return self.counts.ended(counted, End::Overload);
+        };
         let id: Id = ask.trace.as_str().into();
         if self.requests.contains_key(&id) {
             // Guards the request that has the name already: its attempts and answers go by it. This one may be
@@ -252,6 +264,7 @@
             || self.requests.len() >= self.settings.limits.max_open.max(1)
             || self.bodies + ask.body.len() > self.bounds.bodies;
         self.bodies += ask.body.len();
+        self.classes.took(class);
         let open = Open {
             ask,
             client: token,
@@ -259,7 +272,9 @@
             deadline: self.now + budget,
             done: false,
             attempts: 0,
+            most: self.settings.limits.max_attempts,
             attempt: None,
+            class,
             counted,
             spent: Vec::new(),
         };
@@ -364,6 +379,7 @@
     pub(super) fn forget(&mut self, id: &Id) {
         if let Some(open) = self.requests.remove(id) {
             self.bodies -= open.ask.body.len();
+            self.classes.left(open.class);
         }
     }
 }
--- a/src/net/doorman/lifecycle.rs
+++ b/src/net/doorman/lifecycle.rs
@@ -3,9 +3,6 @@
 use super::*;
 use crate::lifecycle::{Event as Life, Held, Phase, Refused};
 
-/// The longest that a client waits, where no class says.
-const LONGEST: Time = 3_000 * MS;
-
 impl Doorman {
     /// Hands on what happened, and tells clients to leave where that follows.
     pub(super) fn live(&mut self, event: Life) -> Result<(), Refused> {
@@ -14,7 +11,7 @@
         if self.life.phase() == before {
             return Ok(());
         }
-        info!(self.log, "phase"; "is" => ?self.life.phase(), "was" => ?before, "open" => self.requests.len());
+        debug!(self.log, "phase"; "is" => ?self.life.phase(), "was" => ?before, "open" => self.requests.len());
         if self.life.accepts() && !accepted {
             self.accept();
         }
@@ -38,7 +35,8 @@
     }
 
     pub(super) fn terminate(&mut self) {
-        let longest = self.settings.classes.iter().map(|c| c.deadline_us).max().unwrap_or(LONGEST);
+        info!(self.log, "told to end, draining"; "open" => self.requests.len());
+        let longest = self.classes.longest();
         let _ = self.live(Life::Terminate { longest });
         if let Some(at) = self.life.last_answers() {
             self.timers.set(at, Due::DrainEnd);
--- a/src/net/doorman/news.rs
+++ b/src/net/doorman/news.rs
@@ -39,25 +39,39 @@
     /// Takes up the configuration file as it is now, if it can be used; else all stays as it is.
     pub(super) fn reload(&mut self) {
         // Both are read whole before anything changes.
-        let new = match Config::read(self.config_path.clone()) {
+        let read = Config::read(self.config_path.clone()).and_then(|new| {
+            new.follows(&self.settings, &self.keys)?;
+            Ok(new)
+        });
+        let new = match read {
             Ok(new) => new,
-            Err(e) => return warn!(self.log, "new configuration not used"; "error" => %e),
+            Err(e) => {
+                self.counts.reloads[1] += 1;
+                return warn!(self.log, "new configuration not used"; "error" => %e);
+            }
         };
         let product = match self.product_path.as_deref().map(script::read).transpose() {
             Ok(product) => product,
-            Err(e) => return warn!(self.log, "new settings not used"; "error" => %e),
+            Err(e) => {
+                self.counts.reloads[1] += 1;
+                return warn!(self.log, "new settings not used"; "error" => %e);
+            }
         };
-        let fixed = [
-            ("name", new.name == self.name),
-            ("listen", new.listen == self.listen),
-            ("settings", new.settings == self.settings),
-        ];
+        let fixed = [("name", new.name == self.name), ("listen", new.listen == self.listen)];
         for (what, _) in fixed.iter().filter(|f| !f.1) {
             warn!(self.log, "takes a restart to change"; "what" => what);
         }
-        info!(self.log, "configuration read again"; "channel" => %new.channel);
-        self.bounds = Bounds::of(&new.limits);
-        self.pool.most = self.bounds.upstream;
+        info!(self.log, "configuration read again"; "channel" => %new.channel,
+              "classes" => ?new.settings.classes.iter().map(|c| &c.name).collect::<Vec<_>>());
+        self.counts.reloads[0] += 1;
+        self.limits = new.limits;
+        self.keys = new.keys;
+        if new.settings != self.settings {
+            self.settings = new.settings;
+            self.adopt_classes();
+            self.events.push_back(Event::Settings(Box::new(self.classes.for_router(&self.settings))));
+        }
+        self.follow_limits();
         if new.channel != self.feed.address() {
             self.feed.move_to(new.channel);
             self.tend_feed();
@@ -67,6 +81,22 @@
         }
     }
 
+    /// Gives the classes of the settings their numbers and their counts.
+    pub(super) fn adopt_classes(&mut self) {
+        self.classes.adopt(self.now, &self.settings);
+        for class in &self.settings.classes {
+            self.counts.class(&class.name);
+        }
+    }
+
+    /// Bounds as the limits, and the settings on connections, have them.
+    pub(super) fn follow_limits(&mut self) {
+        self.bounds = Bounds::of(&self.limits);
+        let limits = &self.settings.limits;
+        // Somewhat before the depots close it: a want must not cross their close.
+        self.pool.retune(limits.multiplex, self.bounds.upstream, limits.conn_idle_us / 10 * 9);
+    }
+
     fn reload_product(&mut self, product: Product) {
         let (Some(registry), Some(new)) = (&mut self.registry, &product.registry) else {
             if self.registry.is_some() || product.registry.is_some() {
--- a/src/net/doorman/tests.rs
+++ b/src/net/doorman/tests.rs
@@ -17,6 +17,7 @@
     cache: StdListener,
     origin: StdListener,
     channel: StdListener,
+    config: serde_json::Value,
 }
 
 /// One end of a connection that the test holds.
@@ -86,13 +87,13 @@
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "channel": channel.local_addr().unwrap().to_string(),
             "known": {"cursor": 41, "cmds": [{"cursor": 41, "nodes": nodes}]}, "settings": settings()});
-        let config = Config::parse(&config.to_string(), "test".into()).unwrap();
+        let parsed = Config::parse(&config.to_string(), "test".into()).unwrap();
         let log = Logger::root(slog::Discard, slog::o!());
-        let doorman = Doorman::start(config, Clock::start(), log).unwrap();
+        let doorman = Doorman::start(parsed, Clock::start(), log).unwrap();
         for listener in [&cache, &origin, &channel] {
             listener.set_nonblocking(true).unwrap();
         }
-        World { doorman, cache, origin, channel }
+        World { doorman, cache, origin, channel, config }
     }
 
     /// Turns the doorman until something has come.
@@ -530,7 +531,7 @@
 #[test]
 fn a_rest_after_which_connections_break_is_not_waited_for_again() {
     let mut w = World::new();
-    w.doorman.pool.most = 2; // no spares: each connection that comes is one that was needed
+    w.doorman.pool.retune(32, 2, 13_500_000); // no spares: each connection that comes is one that was needed
     let (mut client, mut cache, _) = w.asked();
     cache.put(&answer(&trace(1), "ok", "-", "x"));
     w.frame(&mut client);
@@ -564,7 +565,7 @@
 #[test]
 fn a_full_pool_lets_an_idle_connection_go_only_for_one_that_is_needed() {
     let mut w = World::new();
-    w.doorman.pool.most = 1;
+    w.doorman.pool.retune(32, 1, 13_500_000);
     let (mut client, mut cache, _) = w.asked();
     for number in 1..3 {
         cache.put(&answer(&trace(number), "ok", "-", "x"));
@@ -1040,3 +1041,112 @@
     w.doorman.terminate();
     assert!(w.call("active\n").starts_with("error stopping"));
 }
+
+// ---- new settings ----
+
+impl World {
+    /// Puts a configuration in place and has the doorman read it; whether it was taken over.
+    fn reconfigure(&mut self, name: &str, text: &str) -> bool {
+        let path = std::env::temp_dir().join(format!("larchdale-{}-{name}.json", std::process::id()));
+        std::fs::write(&path, text).unwrap();
+        self.doorman.config_path = path.clone();
+        let [taken, turned_down] = self.doorman.counts.reloads;
+        self.doorman.reload();
+        self.doorman.settle();
+        std::fs::remove_file(path).unwrap();
+        let now = self.doorman.counts.reloads;
+        assert_eq!(now[0] + now[1], taken + turned_down + 1, "each file is counted once");
+        now[0] > taken
+    }
+}
+
+#[test]
+fn a_class_comes_and_another_goes_while_requests_of_both_are_open() {
+    let mut w = World::new();
+    let (mut client, mut cache, _) = w.asked();
+    let mut config = w.config.clone();
+    let classes = config["settings"]["classes"].as_array_mut().unwrap();
+    let mut new = classes[2].clone();
+    new["name"] = "late-edit".into();
+    classes.push(new);
+    classes.remove(0);
+    // Its place is now another's, and fewer attempts are left to all.
+    for list in ["max-age-us", "stale-for-us", "pass-on"] {
+        let list = config["settings"]["domain"][list].as_array_mut().unwrap();
+        list.push(list[2].clone());
+        list.remove(0);
+    }
+    config["settings"]["limits"]["max-attempts"] = 1.into();
+    assert!(w.reconfigure("classes", &config.to_string()));
+    // The open one is answered as what it came as, and counted as that.
+    cache.put(&answer(&trace(1), "ok", "-", "x"));
+    assert_eq!(w.frame(&mut client).2, b"\x14\x00x");
+    // Clients have not heard yet: still served. Then refused on its stream, and nothing else ends.
+    client.put(&request(2, 2, "clip"));
+    assert_eq!(w.command(&mut cache)[1], trace(2));
+    cache.put(&answer(&trace(2), "ok", "-", "x"));
+    assert_eq!(w.frame(&mut client).2, b"\x14\x00x");
+    w.skip(crate::settings::STILL_SERVED);
+    client.put(&request(3, 3, "clip"));
+    assert_eq!(w.frame(&mut client).2, [50, 0]);
+    let edit = |stream, number| request_with(stream, number, "late-edit", &[("nonce", "0c")]);
+    client.put(&edit(4, 4));
+    let mut origin = w.accept(|w| &w.origin);
+    let want = w.command(&mut origin);
+    assert!(want[1] == trace(4) && has(&want, "c=late-edit"), "{want:?}");
+    // One attempt is all that there is now.
+    origin.put(&answer(&trace(4), "refused", "-", ""));
+    assert_eq!(w.frame(&mut client).2[0], 50);
+    let stats = w.call("stats\n");
+    for line in [
+        "clip\",status=\"success\"} 2",
+        "clip\",status=\"overload\"} 1",
+        "late-edit\",status=\"overload\"} 1",
+        "reload_success_total 1",
+    ] {
+        assert!(stats.contains(line), "{line}: {stats}");
+    }
+    w.skip(crate::settings::STILL_KNOWN);
+    let mut other = w.client();
+    other.put(&request(1, 5, "clip"));
+    assert_eq!(w.frame(&mut other).1, 0, "no class any more");
+}
+
+#[test]
+fn a_file_that_is_not_whole_changes_nothing_at_all() {
+    let mut w = World::new();
+    let whole = w.config.to_string();
+    let (channel, settings) = (w.doorman.feed.address(), w.doorman.settings.clone());
+    let mut changed = w.config.clone();
+    changed["channel"] = "127.0.0.1:9".into();
+    let text = changed.to_string();
+    let deadline = |to: &str| text.replace("\"deadline-us\":6000000", &format!("\"deadline-us\":{to}"));
+    let attempts = |to: &str| text.replace("\"max-attempts\":6", &format!("\"max-attempts\":{to}"));
+    let mut bad = vec![String::new(), text[..text.len() - 1].to_owned(), text[..text.len() / 2].to_owned()];
+    for value in ["0", "-5", "null", "\"6\"", "1e99", "NaN", "[]", "99999999999999999999", "1.5", "true"] {
+        bad.extend([deadline(value), attempts(value)]);
+    }
+    for key in ["listen", "seed", "channel", "settings", "limits"] {
+        let mut less = changed.clone();
+        less.as_object_mut().unwrap().remove(key);
+        bad.push(less.to_string());
+    }
+    for (within, key) in [("limits", "max-attempts"), ("domain", "pass-on"), ("rules", "fall-us")] {
+        let mut less = changed.clone();
+        less["settings"][within].as_object_mut().unwrap().remove(key);
+        bad.push(less.to_string());
+    }
+    let mut less = changed.clone();
+    less["settings"]["classes"][1].as_object_mut().unwrap().remove("deadline-us");
+    bad.push(less.to_string());
+    let mut other = changed.clone();
+    other["settings"]["zone"] = 1.into();
+    bad.push(other.to_string());
+    for text in &bad {
+        assert!(!w.reconfigure("bad", text), "{text}");
+    }
+    assert_eq!((w.doorman.feed.address(), &w.doorman.settings), (channel, &settings));
+    assert!(!w.doorman.told.iter().any(|e| matches!(e, Event::Settings(_))));
+    assert!(w.call("stats\n").contains(&format!("reload_failure_total {}\n", bad.len())));
+    assert!(w.reconfigure("whole", &whole), "the file that it started with is one to take over");
+}
--- a/src/net/doorman/upstream.rs
+++ b/src/net/doorman/upstream.rs
@@ -19,7 +19,7 @@
         let until = if until == 0 { open.deadline } else { until.min(open.deadline) };
         invariant!(open.attempt.is_none(), "one attempt of a request is out at a time");
         let moot = open.done || open.attempt.is_some() || self.now >= until;
-        if moot || number >= self.settings.limits.max_attempts {
+        if moot || number >= open.most.min(self.settings.limits.max_attempts) {
             return self.tell_outcome(&id, number, self.now, (Code::NeverSent, Note::Untold, None));
         }
         self.figures.attempts += 1;
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -97,7 +97,7 @@
     by_depot: FxHashMap<Id, Vec<Token>>,
     multiplex: usize,
     /// Most connections to all depots together.
-    pub most: usize,
+    most: usize,
     most_each: usize,
     /// Connections that rested for so long are not used again.
     stale_after: Time,
@@ -119,6 +119,12 @@
         }
     }
 
+    /// Follows new settings; connections beyond what may be end when they are idle.
+    pub fn retune(&mut self, multiplex: usize, most: usize, longest_rest: Time) {
+        (self.multiplex, self.most, self.longest_rest) = (multiplex, most, longest_rest);
+        self.stale_after = self.stale_after.min(longest_rest);
+    }
+
     /// Whether any depot is listed.
     pub fn is_listed(&self) -> bool {
         !self.depots.is_empty()
