A second process takes over: the listening socket is handed on, bounds and cold budgets are halved

Need: replacement without a connection reset; SO_REUSEPORT alone resets what waits in the queue of a listener that closes. Change: src/handover (who may, lines, file) and its driver; purges in force go along; two processes count as two doormans.

--- a/src/lifecycle/mod.rs
+++ b/src/lifecycle/mod.rs
@@ -19,6 +19,8 @@
 /// A connection whose client was told to leave closes after so long with nothing open: twice the time in
 /// which a request that crosses a close is sent again.
 pub const LEAVES_AFTER: Time = 100 * MS;
+/// One on which nothing was asked yet: what its client connected for may still be on its way.
+const NEVER_ASKED: Time = 1_000 * MS;
 /// In standby: until then requests are begun; 4 s after the call none may be held that came in the last 2 s.
 const BEGINS_UNTIL: Time = 1_800 * MS;
 /// In standby: then a message that is still not whole ends with its connection, so that none is there at 4 s.
@@ -159,11 +161,12 @@
     }
 
     /// Whether a connection that has had nothing open for `idle` is closed; `leaving`: its client was told.
-    pub fn closes(&self, now: Time, leaving: bool, idle: Time) -> bool {
+    pub fn closes(&self, now: Time, leaving: bool, asked: bool, idle: Time) -> bool {
         // In a plain stop the end of the process closes it.
         let told = leaving && (self.phase() != Phase::Stopping || self.replaced.is_some());
         let emptied = self.standby.is_some_and(|t| now.saturating_sub(t) >= BEGINS_UNTIL);
-        idle >= LEAVES_AFTER && (told || (emptied && self.phase() == Phase::Standby))
+        let least = if asked { LEAVES_AFTER } else { NEVER_ASKED };
+        idle >= least && (told || (emptied && self.phase() == Phase::Standby))
     }
 
     /// Whether what has not even become a whole message by now ends with its connection.
--- a/src/lifecycle/tests.rs
+++ b/src/lifecycle/tests.rs
@@ -18,19 +18,19 @@
     life.handle(T, Event::Standby).unwrap();
     assert!(!life.takes_clients() && !life.is_ready() && life.sends_away());
     assert!(life.accepts() && life.begins(T + SECOND), "what still comes is served");
-    assert!(life.closes(T, true, LEAVES_AFTER) && !life.closes(T, true, LEAVES_AFTER - 1));
-    assert!(!life.closes(T + SECOND, false, SECOND), "a new connection may still bring its request");
+    assert!(life.closes(T, true, true, LEAVES_AFTER) && !life.closes(T, true, true, LEAVES_AFTER - 1));
+    assert!(!life.closes(T + SECOND, false, true, SECOND), "a new connection may still bring its request");
     // A second call does not begin the drain anew.
     life.handle(T + SECOND, Event::Standby).unwrap();
-    assert!(!life.begins(T + 2 * SECOND) && life.closes(T + 2 * SECOND, false, LEAVES_AFTER));
+    assert!(!life.begins(T + 2 * SECOND) && life.closes(T + 2 * SECOND, false, true, LEAVES_AFTER));
     assert!(!life.ends_all(T + 3 * SECOND) && life.ends_all(T + 4 * SECOND - 1));
     assert!(!life.is_over(T + 100 * SECOND, Held::default()), "standby is not the end");
     life.handle(T + 3 * SECOND, Event::Active).unwrap();
     life.handle(T + 3 * SECOND, Event::Active).unwrap();
     let now = T + 9 * SECOND;
     assert!(life.takes_clients() && life.begins(now) && !life.sends_away() && !life.ends_all(now));
-    assert!(life.closes(now, true, LEAVES_AFTER), "who was told to leave must not stay");
-    assert!(!life.closes(now, false, LEAVES_AFTER));
+    assert!(life.closes(now, true, true, LEAVES_AFTER), "who was told to leave must not stay");
+    assert!(!life.closes(now, false, true, LEAVES_AFTER));
 }
 
 #[test]
@@ -61,7 +61,7 @@
     life.handle(T, Event::Terminate { longest: 2 * SECOND }).unwrap();
     assert_eq!(life.handle(T, Event::Active), Err(Refused::Stopping));
     assert_eq!(life.handle(T, Event::Standby), Err(Refused::Stopping));
-    assert!(!life.is_ready() && life.accepts() && life.begins(T) && !life.closes(T, true, SECOND));
+    assert!(!life.is_ready() && life.accepts() && life.begins(T) && !life.closes(T, true, true, SECOND));
     assert!(!life.is_over(T + LINGER - 1, nothing), "requests may still be on their way");
     assert!(life.is_over(T + LINGER, nothing));
     let stop = T + 2 * SECOND + DRAIN_SPARE + DRAIN_FLUSH;
@@ -78,7 +78,11 @@
     let mut life = serving();
     life.handle(T, Event::Successor { shared: true }).unwrap();
     life.handle(T, Event::Terminate { longest: SECOND }).unwrap();
-    assert!(life.is_ready() && life.closes(T, true, LEAVES_AFTER));
+    assert!(life.is_ready() && life.closes(T, true, true, LEAVES_AFTER));
+    assert!(
+        !life.closes(T, true, false, LEAVES_AFTER) && life.closes(T, true, false, SECOND),
+        "a first request may come"
+    );
     assert!(!life.is_over(T, Held { clients: true, ..nothing }) && life.is_over(T, nothing));
 }
 
--- a/src/net/bounds.rs
+++ b/src/net/bounds.rs
@@ -1,10 +1,14 @@
 //! What may be held at a time: bounds that follow the limits of the configuration.
 
 use super::config::Limits;
+use crate::management::PLACES;
 
 /// Descriptors kept back for what is neither a client's nor a depot's: the standard streams, the poll, the
 /// signals, the listener, the command channel, the configuration file; and a few for what comes and goes.
 const RESERVED: usize = 24;
+/// Kept back besides where there is a door for operators: its listener, its callers, one more that is just being
+/// taken; and what two processes of one doorman talk by: a listener, two that knock, the one before.
+const DOOR: usize = PLACES + 6;
 /// The part of the descriptors that connections to depots may take. Clients that behave hold a third at most.
 const UPSTREAM_PART: usize = 3;
 /// The part of the client connections that may be ones on which nothing whole was ever asked.
@@ -31,11 +35,15 @@
 }
 
 impl Bounds {
-    /// What these limits leave room for.
-    pub fn of(limits: &Limits) -> Self {
-        let upstream = (limits.sockets / UPSTREAM_PART).max(LEAST);
-        let clients = limits.sockets.saturating_sub(upstream + RESERVED).max(LEAST);
-        let memory = limits.memory_mb << 20;
+    /// What these limits leave room for. `door`: operators have one; `beside`: two processes share the limits.
+    pub fn of(limits: &Limits, door: bool, beside: bool) -> Self {
+        let processes = 1 + usize::from(beside);
+        let reserved = RESERVED + if door { DOOR } else { 0 };
+        let sockets = limits.sockets / processes;
+        let free = sockets.saturating_sub(reserved);
+        let upstream = (sockets / UPSTREAM_PART).min(free / 2).max(LEAST);
+        let clients = free.saturating_sub(upstream).max(LEAST);
+        let memory = (limits.memory_mb << 20) / processes;
         Bounds {
             clients,
             mute: (clients / MUTE_PART).max(LEAST),
@@ -54,10 +62,25 @@
     #[test]
     fn bounds_follow_the_limits_and_leave_room_for_all_that_is_open() {
         for (sockets, memory_mb) in [(256, 32), (384, 48), (1024, 192)] {
-            let bounds = Bounds::of(&Limits { sockets, memory_mb });
+            let limits = Limits { sockets, memory_mb };
+            let bounds = Bounds::of(&limits, false, false);
             assert!(bounds.clients + bounds.upstream + RESERVED <= sockets);
             assert!(bounds.clients - bounds.mute > sockets / 3, "clients that behave have room");
             assert!(bounds.held + bounds.bodies < memory_mb << 19);
         }
     }
+
+    /// Also where they are halved, and where two processes share what is left.
+    #[test]
+    fn two_processes_with_doors_keep_within_the_limits_of_one() {
+        for (sockets, memory_mb) in [(128, 16), (192, 24), (384, 48), (1024, 192)] {
+            let limits = Limits { sockets, memory_mb };
+            for (beside, processes) in [(false, 1), (true, 2)] {
+                let bounds = Bounds::of(&limits, true, beside);
+                let held = bounds.clients + bounds.upstream + RESERVED + DOOR;
+                assert!(processes * held <= sockets, "{sockets} {beside}: {bounds:?}");
+                assert!(processes * (bounds.held + bounds.bodies) < memory_mb << 19);
+            }
+        }
+    }
 }
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -17,6 +17,8 @@
     pub listen: SocketAddr,
     /// Where operators connect, if anywhere.
     pub management: Option<SocketAddr>,
+    /// Where processes of one doorman find each other, if anywhere.
+    pub folder: Option<PathBuf>,
     /// For random numbers; new with each start.
     pub seed: u64,
     /// The file that it was read from; SIGHUP has it read again.
@@ -160,6 +162,9 @@
         if let Some(own) = std::env::var("PROXY_MANAGEMENT").ok().filter(|a| !a.is_empty()) {
             config.management = Some(address("PROXY_MANAGEMENT", own)?);
         }
+        // Never a folder that all may write to, and nothing at all where no second process can be started.
+        let own = std::env::var_os("TMPDIR").filter(|f| !f.is_empty()).map(PathBuf::from);
+        config.folder = own.filter(|_| config.management.is_some());
         Ok(config)
     }
 
@@ -193,6 +198,7 @@
                 none if none.is_empty() => None,
                 some => Some(address("management", some)?),
             },
+            folder: None,
             seed: u64::from_str_radix(&file.seed, 16).map_err(|_| ConfigError::Value("seed", file.seed))?,
             path,
             limits: file.limits,
--- a/src/net/doorman.rs
+++ b/src/net/doorman.rs
@@ -3,6 +3,7 @@
 //! It owns the open requests and their attempts. Everything is done within one turn of one loop on one thread.
 
 mod clients;
+mod handover;
 mod lifecycle;
 mod management;
 mod news;
@@ -10,6 +11,7 @@
 mod tests;
 mod upstream;
 
+use self::handover::{Found, Handover};
 use self::management::Door;
 use super::bounds::Bounds;
 use super::clock::Clock;
@@ -17,12 +19,12 @@
 use super::connection::{Callbacks, Closed, Connection, State};
 use super::event_loop::{EventLoop, Ready, Timers, SIGNALS};
 use super::feed::Feed;
-use super::listener::listen;
 use super::pool::{Choice, Link, Pool};
 use super::proto::command_channel::{self, Command, Purge, Record};
 use super::proto::frames::{self, ClientMessage};
 use super::proto::resp::{self, Answer, Word};
 use super::proto::{Ask, Malformed, Reply};
+use crate::handover::Identity;
 use crate::interface::{
     Action, Code, Effect, Event, Fetch, Id, Listed, Note, Outcome, Report, Request, Time,
 };
@@ -86,7 +88,7 @@
 /// Changes of the list taken from a registry, and told to the module, in one turn.
 const UPDATES: usize = 512;
 const TOLD: usize = 256;
-/// Purges are remembered for as long as an attempt can wait to be written, and longer.
+/// Purges are remembered for as long as an attempt can wait to be written, and while they are in force.
 const PURGES_KEPT: Time = 5_000 * MS;
 
 /// What a timer means.
@@ -255,7 +257,8 @@
     pool: Pool,
     requests: FxHashMap<Id, Open>,
     bodies: usize,
-    purges: VecDeque<(Time, Purge)>,
+    /// When each was told, what, and the Unix millisecond of the purge.
+    purges: VecDeque<(Time, Purge, u64)>,
     events: VecDeque<Event>,
     actions: Vec<Action>,
     ready: Vec<Ready>,
@@ -266,6 +269,7 @@
     /// What operators are told has been counted.
     counts: Counts,
     door: Option<Door>,
+    handover: Option<Handover>,
     /// All that the module has heard.
     #[cfg(test)]
     told: Vec<Event>,
@@ -285,12 +289,17 @@
         log: Logger,
     ) -> io::Result<Self> {
         let mut event_loop = EventLoop::new()?;
-        let mut listener = listen(config.listen, config.management.is_some())?;
+        let who = Identity { name: config.name.clone(), listen: config.listen };
+        let mut found =
+            config.folder.as_deref().map(|f| handover::find(f, &who, &log)).transpose()?.flatten();
+        let (mut listener, shared) = Found::listener(&mut found, &config)?;
         let token = event_loop.add(&mut listener, Interest::READABLE)?;
         let mut classes = Classes::default();
         classes.adopt(clock.now(), &config.settings);
-        let router = Router::new(classes.for_router(&config.settings), config.seed);
-        let bounds = Bounds::of(&config.limits);
+        let handover = config.folder.map(|f| Handover::new(f, who, found, shared, &mut event_loop));
+        let beside = handover.as_ref().is_some_and(Handover::is_beside);
+        let router = Router::new(classes.for_router(&config.settings, beside), config.seed);
+        let bounds = Bounds::of(&config.limits, config.management.is_some(), beside);
         let mut doorman = Doorman {
             now: clock.now(),
             log,
@@ -326,15 +335,17 @@
             figures: Figures::default(),
             counts: Counts::default(),
             door: None,
+            handover,
             #[cfg(test)]
             told: Vec::new(),
             settings: config.settings,
         };
         doorman.adopt_classes();
-        doorman.follow_limits();
         if let Some(address) = config.management {
             doorman.door = Some(Door::open(address, &mut doorman.event_loop)?);
         }
+        doorman.follow_limits();
+        doorman.inherit();
         if let Some((path, product)) = product {
             doorman.product_path = Some(path);
             if let Some(registry) = product.registry {
@@ -413,6 +424,8 @@
             }
         } else if self.door.as_ref().is_some_and(|d| d.owns(event.token)) {
             self.door_ready(event);
+        } else if self.handover.as_ref().is_some_and(|h| h.owns(event.token)) {
+            self.handover_ready(event);
         } else if event.token == self.listener.0 {
             self.accept();
         } else if self.clients.contains_key(&event.token) {
@@ -501,7 +514,8 @@
     fn sweep(&mut self) {
         self.timers.set(self.now + SWEEP, Due::Sweep);
         self.tend_feed();
-        while self.purges.front().is_some_and(|p| self.now.saturating_sub(p.0) > PURGES_KEPT) {
+        let kept = PURGES_KEPT.max(self.settings.domain.purge_done_us.saturating_mul(2));
+        while self.purges.front().is_some_and(|p| self.now.saturating_sub(p.0) > kept) {
             self.purges.pop_front();
         }
         for token in self.pool.rested(self.now) {
--- a/src/net/doorman/clients.rs
+++ b/src/net/doorman/clients.rs
@@ -152,7 +152,8 @@
         let since = |t: Time| now.saturating_sub(t);
         let over = |c: &Client| {
             let stalled = c.conn.backlog() > 0 && since(c.conn.moved) >= STALLED;
-            let leaves = self.life.closes(now, c.told_leaving, since(c.used)) && !c.conn.is_partial();
+            let leaves =
+                self.life.closes(now, c.told_leaving, c.spoke, since(c.used)) && !c.conn.is_partial();
             let never = self.life.ends_all(now) && c.open.is_empty();
             stalled || (c.is_idle() && (since(c.used) >= CLIENT_IDLE || leaves || never))
         };
--- a/src/net/doorman/lifecycle.rs
+++ b/src/net/doorman/lifecycle.rs
@@ -12,6 +12,9 @@
             return Ok(());
         }
         debug!(self.log, "phase"; "is" => ?self.life.phase(), "was" => ?before, "open" => self.requests.len());
+        if before == Phase::Starting && self.life.takes_clients() {
+            self.take_over();
+        }
         if self.life.accepts() && !accepted {
             self.accept();
         }
--- a/src/net/doorman/news.rs
+++ b/src/net/doorman/news.rs
@@ -69,7 +69,9 @@
         if new.settings != self.settings {
             self.settings = new.settings;
             self.adopt_classes();
-            self.events.push_back(Event::Settings(Box::new(self.classes.for_router(&self.settings))));
+            self.events.push_back(Event::Settings(Box::new(
+                self.classes.for_router(&self.settings, self.is_beside()),
+            )));
         }
         self.follow_limits();
         if new.channel != self.feed.address() {
@@ -91,7 +93,7 @@
 
     /// Bounds as the limits, and the settings on connections, have them.
     pub(super) fn follow_limits(&mut self) {
-        self.bounds = Bounds::of(&self.limits);
+        self.bounds = Bounds::of(&self.limits, self.door.is_some(), self.is_beside());
         let limits = &self.settings.limits;
         // Somewhat before the depots close it: a want must not cross their close.
         self.pool.retune(limits.multiplex, self.bounds.upstream, limits.conn_idle_us / 10 * 9);
@@ -173,7 +175,7 @@
             Command::Purge { what, when_ms } => {
                 let age = self.now.saturating_sub(self.clock.of_unix_ms(when_ms));
                 debug!(self.log, "purge"; "what" => ?what, "age_ms" => age / 1000);
-                self.purges.push_back((self.now, what));
+                self.purges.push_back((self.now, what, when_ms));
                 let (object, group) = match what {
                     Purge::Object(object) => (Some(object), 0),
                     Purge::Group(group) => (None, group),
--- a/src/net/doorman/upstream.rs
+++ b/src/net/doorman/upstream.rs
@@ -65,7 +65,7 @@
             Purge::Object(object) => object == open.ask.entity.1,
             Purge::Group(group) => group == open.ask.batch,
         };
-        let purged = self.purges.iter().any(|&(told, what)| told >= attempt.sent && voids(what));
+        let purged = self.purges.iter().any(|&(told, what, _)| told >= attempt.sent && voids(what));
         serves(&attempt.depot) && source && !purged
     }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -353,10 +353,16 @@
         self.slots.iter().filter(|s| s.dropped.is_none()).map(|s| s.deadline).max().unwrap_or(0)
     }
 
-    /// What the module is told: these settings, with classes by their numbers.
-    pub fn for_router(&self, document: &Document) -> Settings {
+    /// What the module is told: these settings, with classes by their numbers. `beside`: two processes share
+    /// what is this doorman's, and each has half, as if there were twice as many doormans.
+    pub fn for_router(&self, document: &Document, beside: bool) -> Settings {
         let classes = self.slots.iter().map(|s| s.class.clone()).collect();
-        Settings { classes, ..document.for_router() }
+        let mut settings = Settings { classes, ..document.for_router() };
+        if beside {
+            settings.routers = settings.routers.max(1).saturating_mul(2);
+            settings.routers_by_zone.iter_mut().for_each(|r| *r = (*r).max(1).saturating_mul(2));
+        }
+        settings
     }
 }
 
@@ -412,7 +418,7 @@
         let new = document(&[("a", 1, "at_most_once")]);
         classes.adopt(5, &new);
         let now = number(&classes, 5, "a");
-        let told = classes.for_router(&new).classes;
+        let told = classes.for_router(&new, false).classes;
         assert_eq!((told[old].effect, told[now].effect), (Effect::Safe, Effect::Unsafe));
     }
 
@@ -480,7 +486,7 @@
                     let (at, _) = held.remove(0);
                     classes.left(at);
                 }
-                let told = classes.for_router(&new).classes;
+                let told = classes.for_router(&new, false).classes;
                 prop_assert!(held.iter().all(|(at, class)| &told[*at] == class));
             }
             held.into_iter().for_each(|(at, _)| classes.left(at));
