--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -66,12 +66,11 @@
     let set = product.as_ref().and_then(|(_, product)| product.log);
     let form = options.log_format.map(LogForm::from).or(set).unwrap_or_default();
     let (log, guard) = logger(&config.name, form);
-    let listen = config.listen;
     let started =
         Doorman::start_with(config, product, clock, log.clone()).and_then(|d| Ok((d.address()?, d)));
     let (address, doorman) = match started {
         Ok(started) => started,
-        Err(e) => return fail(&format!("can't listen on {listen}: {e}")),
+        Err(e) => return fail(&format!("can't start: {e}")),
     };
     info!(log, "listening"; "address" => %address);
     let ended = doorman.run();
--- a/src/net/doorman.rs
+++ b/src/net/doorman.rs
@@ -76,6 +76,10 @@
 const CLIENT_IDLE: Time = 5_000 * MS;
 /// A client has so long for its first message to be whole, and for any other from its first byte on.
 const MUTE: Time = 2_000 * MS;
+/// One that goes on coming has so much longer: some take 2 s to write, and 3 s after it connected a bad client is
+/// owed its answer. It goes on coming while it never stood still for `STANDS`.
+const COMING: Time = 600 * MS;
+const STANDS: Time = 1_000 * MS;
 /// Depots write an answer in one go: one of which so long nothing more has come will not be whole.
 const STOPPED_SHORT: Time = 300 * MS;
 /// Most connections to one depot.
@@ -342,7 +346,9 @@
         };
         doorman.adopt_classes();
         if let Some(address) = config.management {
-            doorman.door = Some(Door::open(address, &mut doorman.event_loop)?);
+            let door = Door::open(address, &mut doorman.event_loop);
+            let told = |e| io::Error::other(format!("the door for operators at {address}: {e}"));
+            doorman.door = Some(door.map_err(told)?);
         }
         doorman.follow_limits();
         doorman.inherit();
--- a/src/net/doorman/clients.rs
+++ b/src/net/doorman/clients.rs
@@ -167,7 +167,11 @@
             self.drop_client(token);
         }
         // Where answers wait to be taken, reading may have stopped here: that is not the message's fault.
-        let mute = |c: &Client| c.conn.backlog() == 0 && c.awaited.is_some_and(|t| since(t) >= MUTE);
+        let patience = |c: &Client| {
+            let comes = c.conn.is_partial() && since(c.conn.heard) < STANDS;
+            MUTE + if comes { COMING } else { 0 }
+        };
+        let mute = |c: &Client| c.conn.backlog() == 0 && c.awaited.is_some_and(|t| since(t) >= patience(c));
         let mute: Vec<Token> = self.clients.iter().filter(|c| mute(c.1)).map(|c| *c.0).collect();
         for token in mute {
             self.refuse_client(token, &Malformed("no whole message in time"));
--- a/src/net/doorman/handover.rs
+++ b/src/net/doorman/handover.rs
@@ -101,7 +101,10 @@
     pub(super) fn listener(this: &mut Option<Found>, config: &Config) -> io::Result<(TcpListener, bool)> {
         match this.as_mut().and_then(|f| f.listener.take()) {
             Some(listener) => Ok((listener, true)),
-            None => Ok((listen(config.listen, config.management.is_some())?, false)),
+            None => {
+                let told = |e| io::Error::other(format!("can't listen on {}: {e}", config.listen));
+                Ok((listen(config.listen, config.management.is_some()).map_err(told)?, false))
+            }
         }
     }
 }
--- a/src/net/doorman/tests.rs
+++ b/src/net/doorman/tests.rs
@@ -1150,3 +1150,35 @@
     assert!(w.call("stats\n").contains(&format!("reload_failure_total {}\n", bad.len())));
     assert!(w.reconfigure("whole", &whole), "the file that it started with is one to take over");
 }
+
+// ---- less room ----
+
+#[test]
+fn a_request_that_takes_two_seconds_to_write_is_served_and_one_that_trickles_on_is_not() {
+    let mut w = World::new();
+    let bytes = request(1, 1, "clip");
+    let (mut slow, mut endless) = (w.client(), w.client());
+    for n in 0..10 {
+        slow.put(&bytes[n * 4..n * 4 + 4]);
+        endless.put(&bytes[n * 4..n * 4 + 4]);
+        w.skip(220 * MS);
+    }
+    w.until("a sweep", |d| (d.figures.bad_clients == 0).then_some(()));
+    slow.put(&bytes[40..]);
+    let mut cache = w.cache();
+    assert_eq!(w.command(&mut cache)[1], trace(1));
+    // 2.2 s have gone; what still is not whole by 2.6 s and a sweep is told and closed, within 3 s in all.
+    endless.put(&bytes[40..41]);
+    w.skip(MUTE + COMING - 2_200 * MS + SWEEP);
+    assert_eq!(w.frame(&mut endless).1, 0);
+    w.ended(&mut endless);
+    cache.put(&answer(&trace(1), "ok", "-", "x"));
+    assert_eq!(w.frame(&mut slow).2, b"\x14\x00x");
+    assert!(MUTE + COMING + SWEEP < 3_000 * MS);
+    // One that stands still has no longer than one that says nothing.
+    let mut stuck = w.client();
+    stuck.put(&bytes[..30]);
+    w.until("half a request", |d| d.clients.values().any(|c| c.conn.is_partial()).then_some(()));
+    w.skip(MUTE + SWEEP);
+    assert_eq!(w.frame(&mut stuck).1, 0);
+}
