--- a/src/net/doorman.rs
+++ b/src/net/doorman.rs
@@ -189,6 +189,10 @@
     bad_clients: u64,
     bad_depots: u64,
     accept_failures: u64,
+    /// Connections let go so that others have room, by what they were; and those for which there was none.
+    mute_gone: u64,
+    idle_gone: u64,
+    no_room: u64,
     latest_timer: Time,
     /// The longest that one turn kept everything else waiting.
     longest_turn: Time,
--- a/src/net/doorman/clients.rs
+++ b/src/net/doorman/clients.rs
@@ -134,6 +134,7 @@
         if self.clients.values().filter(|c| mute(c)).count() >= self.bounds.mute {
             let oldest = self.clients.iter().filter(|c| mute(c.1)).min_by_key(|c| (c.1.used, *c.0));
             if let Some(token) = oldest.map(|c| *c.0) {
+                self.figures.mute_gone += 1;
                 self.drop_client(token);
             }
         }
@@ -141,7 +142,11 @@
             return true;
         }
         let idle = self.clients.iter().filter(|c| c.1.is_idle());
-        let Some(token) = idle.min_by_key(|c| (c.1.used, *c.0)).map(|c| *c.0) else { return false };
+        let Some(token) = idle.min_by_key(|c| (c.1.used, *c.0)).map(|c| *c.0) else {
+            self.figures.no_room += 1;
+            return false;
+        };
+        self.figures.idle_gone += 1;
         self.drop_client(token);
         true
     }
