--- /dev/null
+++ b/tests/new_settings.rs
@@ -0,0 +1,78 @@
+//! New settings while requests are open, two processes in the place of one, and what the module says it avoids.
+mod common;
+use common::*;
+use larchdale::interface::*;
+
+fn retune(r: &mut larchdale::Router, change: impl FnOnce(&mut Settings)) {
+    let mut new = settings();
+    change(&mut new);
+    assert_eq!(tell(r, T0 + S, Event::Settings(Box::new(new))), []);
+}
+
+/// Fails attempts until the final answer; how many there were.
+fn attempts(r: &mut larchdale::Router, id: &str) -> u32 {
+    for number in 0.. {
+        if !sends(&finish(r, T0 + 2 * S, id, number, Code::ConnectFailed)) {
+            return number + 1;
+        }
+    }
+    unreachable!()
+}
+
+#[test]
+fn open_requests_keep_the_smaller_number_of_attempts() {
+    for (old, new, open) in [(4, 2, 2), (2, 4, 2), (3, 3, 3)] {
+        let mut r = router_with(Settings { max_attempts: old, ..settings() }, fleet());
+        ask(&mut r, T0 + S, "open", VIDEO, 5);
+        retune(&mut r, |s| s.max_attempts = new);
+        assert_eq!(attempts(&mut r, "open"), open, "{old} to {new}");
+        ask(&mut r, T0 + 2 * S, "later", VIDEO, 6);
+        assert_eq!(attempts(&mut r, "later"), new);
+    }
+}
+
+#[test]
+fn a_class_that_comes_binds_at_its_number_and_those_that_are_open_keep_theirs() {
+    let mut r = router();
+    ask(&mut r, T0 + S, "safe", VIDEO, 5);
+    ask(&mut r, T0 + S, "order", ORDER, 6);
+    retune(&mut r, |s| s.classes.push(Class { effect: Effect::Unsafe, ..s.classes[VIDEO].clone() }));
+    ask(&mut r, T0 + S, "new", 4, 7);
+    assert!(sends(&finish(&mut r, T0 + 2 * S, "safe", 0, Code::Reset)), "may run again");
+    assert!(failed(&finish(&mut r, T0 + 2 * S, "order", 0, Code::Reset)));
+    assert!(failed(&finish(&mut r, T0 + 2 * S, "new", 0, Code::Reset)));
+}
+
+#[test]
+fn what_was_learned_of_servers_stays() {
+    let mut r = router();
+    let dead = sent(&ask(&mut r, T0 + S, "a", VIDEO, 5)).0;
+    assert_eq!(r.avoided(), 0);
+    for n in 0..3 {
+        let id = format!("f{n}");
+        if sent(&ask(&mut r, T0 + S, &id, VIDEO, 5)).0 == dead {
+            finish(&mut r, T0 + S, &id, 0, Code::ConnectFailed);
+        }
+    }
+    assert_eq!(r.avoided(), 1);
+    retune(&mut r, |s| s.max_attempts = 2);
+    assert_eq!(r.avoided(), 1);
+    assert_ne!(sent(&ask(&mut r, T0 + S, "b", VIDEO, 5)).0, dead);
+}
+
+/// Guards the cold rule while one process takes over from another: what both send counts as one doorman's.
+#[test]
+fn two_processes_send_a_cold_cache_no_more_than_one_does() {
+    let to_cold = |times: u32| {
+        let cold = Member { started: T0 - 3 * S, ..member("cold", Role::Cache, 3, 8.0) };
+        let origin = member("origin", Role::Origin, 0, 1.0);
+        let mut set = settings();
+        set.routers *= times;
+        set.routers_by_zone.iter_mut().for_each(|r| *r *= times);
+        let mut r = router_with(set, vec![cold, origin]);
+        let sent = |n: &u64| sends(&ask(&mut r, T0, &format!("{n}"), VIDEO, *n));
+        (0..100).filter(sent).count()
+    };
+    let (one, each) = (to_cold(1), to_cold(2));
+    assert!(each > 0 && 2 * each <= one, "{one} of one, {each} of each of two");
+}
