A standby before the list, and one who knocks and says nothing, leave the takeover open

Found by reading: take_over hung on the step from starting to serving, so a standby in between left the process without a name for its successor; an end of the successor after SIGTERM did not have the queue taken again, since the phase stays.

--- a/src/handover/mod.rs
+++ b/src/handover/mod.rs
@@ -109,6 +109,11 @@
         self.successor.is_some()
     }
 
+    /// Whether this connection is that process's.
+    pub fn is_successor(&self, who: K) -> bool {
+        self.successor.is_some_and(|s| s.0 == who)
+    }
+
     /// Takes a line that came on a connection.
     pub fn line(&mut self, from: K, text: &[u8]) -> Step {
         let refuse = |why| Step::Refuse(FromPredecessor::Refused(why));
@@ -138,7 +143,7 @@
 
     /// A connection has ended; `true`: it was the successor's, and this process is alone again.
     pub fn ended(&mut self, who: K) -> bool {
-        let was = self.successor.is_some_and(|s| s.0 == who);
+        let was = self.is_successor(who);
         if was {
             self.successor = None;
         }
--- a/src/net/doorman.rs
+++ b/src/net/doorman.rs
@@ -4,6 +4,7 @@
 
 mod clients;
 mod handover;
+mod inbound;
 mod lifecycle;
 mod management;
 mod news;
@@ -12,6 +13,7 @@
 mod upstream;
 
 use self::handover::{Found, Handover};
+use self::inbound::Inbound;
 use self::management::Door;
 use super::bounds::Bounds;
 use super::clock::Clock;
@@ -198,41 +200,6 @@
     longest_turn: Time,
 }
 
-/// Gathers the messages that one turn brings on one connection.
-struct Inbound<M> {
-    decode: fn(&mut BytesMut) -> Result<Option<M>, Malformed>,
-    messages: Vec<M>,
-    error: Option<Malformed>,
-    opened: bool,
-    heard: bool,
-}
-
-impl<M> Inbound<M> {
-    fn new(decode: fn(&mut BytesMut) -> Result<Option<M>, Malformed>) -> Self {
-        Inbound { decode, messages: Vec::new(), error: None, opened: false, heard: false }
-    }
-}
-
-impl<M> Callbacks for Inbound<M> {
-    fn opened(&mut self) {
-        self.opened = true;
-    }
-
-    fn received(&mut self, bytes: &mut BytesMut) -> Result<(), Malformed> {
-        self.heard = true;
-        loop {
-            match (self.decode)(bytes) {
-                Ok(Some(message)) => self.messages.push(message),
-                Ok(None) => return Ok(()),
-                Err(e) => {
-                    self.error = Some(e.clone());
-                    return Err(e);
-                }
-            }
-        }
-    }
-}
-
 /// The doorman.
 pub struct Doorman {
     log: Logger,
@@ -535,6 +502,9 @@
         if let Some(door) = &mut self.door {
             door.sweep(self.now);
         }
+        if let Some(handover) = &mut self.handover {
+            handover.sweep(self.now);
+        }
         let open = self.requests.values().filter(|o| !o.done).count();
         invariant!(self.counts.concurrent() == open as u64, "what is taken is open or has ended");
     }
--- a/src/net/doorman/handover.rs
+++ b/src/net/doorman/handover.rs
@@ -16,8 +16,10 @@
 
 /// How long a starting process waits for the one before it to answer. That one answers within a turn.
 const ANSWERED_WITHIN: Duration = Duration::from_secs(1);
+/// Who knocks says so at once.
+const SAYS_WITHIN: Time = 2_000 * MS;
 /// Processes that may knock at a time.
-pub(super) const VISITORS: usize = 2;
+const VISITORS: usize = 2;
 
 /// The other process, as a starting one has found it.
 pub(super) struct Found {
@@ -25,16 +27,25 @@
     listener: Option<TcpListener>,
 }
 
+/// One who knocks.
+struct Visitor {
+    stream: UnixStream,
+    said: Vec<u8>,
+    since: Time,
+}
+
 /// Both sides of it in one process: who comes after, and who was before.
 pub(super) struct Handover {
     who: Identity,
     folder: PathBuf,
     socket: Option<(Token, UnixListener)>,
     offers: Offers<Token>,
-    visitors: FxHashMap<Token, (UnixStream, Vec<u8>)>,
+    visitors: FxHashMap<Token, Visitor>,
     predecessor: Option<(Token, UnixStream)>,
     /// This process listens by what it was handed.
     shared: bool,
+    /// It has taken clients, and the other one knows.
+    serves: bool,
 }
 
 /// A file of this doorman's; other doormans may have the same folder.
@@ -122,7 +133,16 @@
             Some((token, found.stream))
         });
         let (socket, visitors) = (None, FxHashMap::default());
-        Handover { offers: Offers::new(who.clone()), who, folder, socket, visitors, predecessor, shared }
+        Handover {
+            offers: Offers::new(who.clone()),
+            who,
+            folder,
+            socket,
+            visitors,
+            predecessor,
+            shared,
+            serves: false,
+        }
     }
 
     pub(super) fn owns(&self, token: Token) -> bool {
@@ -180,6 +200,9 @@
 
     /// This process takes clients: the one before hears of it, and the next one finds this one.
     fn serving(&mut self, event_loop: &mut EventLoop, log: &Logger) {
+        if std::mem::replace(&mut self.serves, true) {
+            return;
+        }
         if let Some((_, stream)) = &mut self.predecessor {
             let line = handover::line(&FromSuccessor::Serving { shared: self.shared });
             // Far less than a socket holds; where it fails, the other's end will be heard of.
@@ -190,13 +213,19 @@
         self.open(event_loop, log);
     }
 
-    fn accept(&mut self, event_loop: &mut EventLoop) {
+    /// Lets those go who have knocked and said nothing: there are few places.
+    pub(super) fn sweep(&mut self, now: Time) {
+        let offers = &self.offers;
+        self.visitors.retain(|k, v| offers.is_successor(*k) || now.saturating_sub(v.since) < SAYS_WITHIN);
+    }
+
+    fn accept(&mut self, now: Time, event_loop: &mut EventLoop) {
         let Some((_, listener)) = &self.socket else { return };
         while let Ok((mut stream, _)) = listener.accept() {
             // Who finds no place is closed, and starts without.
             if self.visitors.len() < VISITORS {
                 if let Ok(token) = event_loop.add(&mut stream, Interest::READABLE) {
-                    self.visitors.insert(token, (stream, Vec::new()));
+                    self.visitors.insert(token, Visitor { stream, said: Vec::new(), since: now });
                 }
             }
         }
@@ -204,7 +233,7 @@
 
     /// Reads a visitor's next line; `Err`: it has gone.
     fn hear(&mut self, token: Token) -> Result<Option<Vec<u8>>, ()> {
-        let Some((stream, said)) = self.visitors.get_mut(&token) else { return Ok(None) };
+        let Some(Visitor { stream, said, .. }) = self.visitors.get_mut(&token) else { return Ok(None) };
         let mut chunk = [0; handover::LONGEST_LINE];
         loop {
             if let Some(end) = said.iter().position(|&b| b == b'\n') {
@@ -223,19 +252,19 @@
     }
 
     fn offer(&mut self, token: Token, listener: &TcpListener, log: &Logger) -> bool {
-        let Some((stream, _)) = self.visitors.get(&token) else { return false };
+        let Some(visitor) = self.visitors.get(&token) else { return false };
         let text = handover::line(&FromPredecessor::Offer);
         let handed = [listener.as_fd()];
         let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
         let mut control = SendAncillaryBuffer::new(&mut space);
         control.push(SendAncillaryMessage::ScmRights(&handed));
-        let sent = sendmsg(stream, &[IoSlice::new(&text)], &mut control, SendFlags::NOSIGNAL);
+        let sent = sendmsg(&visitor.stream, &[IoSlice::new(&text)], &mut control, SendFlags::NOSIGNAL);
         sent.map_err(|e| warn!(log, "the listener can't be handed over"; "error" => %e)).is_ok()
     }
 
     fn refuse(&mut self, token: Token, answer: &FromPredecessor) {
-        if let Some((mut stream, _)) = self.visitors.remove(&token) {
-            let _ = stream.write_all(&handover::line(answer));
+        if let Some(mut visitor) = self.visitors.remove(&token) {
+            let _ = visitor.stream.write_all(&handover::line(answer));
         }
     }
 }
@@ -251,7 +280,7 @@
         let before = side.is_beside();
         let mut happened = None;
         if side.socket.as_ref().is_some_and(|s| s.0 == event.token) {
-            side.accept(&mut self.event_loop);
+            side.accept(self.now, &mut self.event_loop);
         } else if let Some((_, stream)) = side.predecessor.as_mut().filter(|p| p.0 == event.token) {
             // It says nothing more: what comes is its end.
             let still = matches!(stream.read(&mut [0; 64]), Err(e) if e.kind() == ErrorKind::WouldBlock);
--- a/src/net/doorman/lifecycle.rs
+++ b/src/net/doorman/lifecycle.rs
@@ -8,11 +8,11 @@
     pub(super) fn live(&mut self, event: Life) -> Result<(), Refused> {
         let (before, accepted) = (self.life.phase(), self.life.accepts());
         self.life.handle(self.now, event)?;
-        if self.life.phase() == before {
+        if (self.life.phase(), self.life.accepts()) == (before, accepted) {
             return Ok(());
         }
         debug!(self.log, "phase"; "is" => ?self.life.phase(), "was" => ?before, "open" => self.requests.len());
-        if before == Phase::Starting && self.life.takes_clients() {
+        if self.life.takes_clients() {
             self.take_over();
         }
         if self.life.accepts() && !accepted {
--- a/src/net/doorman/tests.rs
+++ b/src/net/doorman/tests.rs
@@ -1213,3 +1213,41 @@
     assert_eq!((routers(&w.doorman), w.doorman.bounds), (Some(1), alone));
     std::fs::remove_dir_all(folder).unwrap();
 }
+
+#[test]
+fn a_standby_before_the_list_came_does_not_keep_the_next_process_from_finding_this_one() {
+    let folder = std::env::temp_dir().join(format!("larchdale-{}-late-list", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let mut w = World::new();
+    w.relist(|e| e.listed = Listed::Gone);
+    w.doorman.membership.remove(w.doorman.now, ORIGIN);
+    w.doorman.tell_members(usize::MAX);
+    let who = Identity { name: "t".into(), listen: w.doorman.listen };
+    w.doorman.handover = Some(Handover::new(folder.clone(), who, None, false, &mut w.doorman.event_loop));
+    assert_eq!(w.call("status\n"), "error not serving: starting\n");
+    assert_eq!(w.call("standby\n"), "done standby\n");
+    let config = w.config["known"]["cmds"][0]["nodes"].clone();
+    let known = serde_json::json!({"cursor": 1, "cmds": [{"cursor": 1, "nodes": config}]});
+    let text = {
+        let mut c = w.config.clone();
+        c["known"] = known;
+        c.to_string()
+    };
+    for command in Config::parse(&text, "test".into()).unwrap().known {
+        w.doorman.command(command);
+    }
+    assert!(std::fs::read_dir(&folder).unwrap().next().is_none(), "it takes no clients yet");
+    assert_eq!(w.call("active\n"), "done serving\n");
+    assert!(std::fs::read_dir(&folder).unwrap().next().is_some());
+    // One who knocks and says nothing does not keep its place.
+    let name = std::fs::read_dir(&folder).unwrap().next().unwrap().unwrap().path();
+    let mut silent = std::os::unix::net::UnixStream::connect(&name).unwrap();
+    silent.set_nonblocking(true).unwrap();
+    w.until("a sweep", |d| {
+        d.sweep();
+        Some(())
+    });
+    w.skip(2_000 * MS + SWEEP);
+    w.until("its end", |_| silent.read(&mut [0]).ok().filter(|n| *n == 0).map(|_| ()));
+    std::fs::remove_dir_all(folder).unwrap();
+}
