--- a/src/net/doorman/tests.rs
+++ b/src/net/doorman/tests.rs
@@ -1177,7 +1177,7 @@
     w.ended(&mut endless);
     cache.put(&answer(&trace(1), "ok", "-", "x"));
     assert_eq!(w.frame(&mut slow).2, b"\x14\x00x");
-    assert!(MUTE + COMING + SWEEP < 3_000 * MS);
+    const { assert!(MUTE + COMING + SWEEP < 3_000 * MS) };
     // One that stands still has no longer than one that says nothing.
     let mut stuck = w.client();
     stuck.put(&bytes[..30]);
--- a/tests/new_settings.rs
+++ b/tests/new_settings.rs
@@ -81,15 +81,15 @@
 /// number of another does not begin with that one's.
 #[test]
 fn what_a_class_takes_is_learned_for_it_and_by_it_alone() {
-    let sized = |r: &mut larchdale::Router, id: &str, class, size_kb| {
+    let sized = |r: &mut larchdale::Router, id: &str, at: Time, class, size_kb| {
         let request = Request { size_kb, ..request(id, class, 5) };
-        assert!(sends(&tell(r, T0 + S, Event::Request(request))));
-        sends(&finish(r, T0 + S + 300 * MS, id, 0, Code::ConnectFailed))
+        assert!(sends(&tell(r, at, Event::Request(request))));
+        sends(&finish(r, at + 300 * MS, id, 0, Code::ConnectFailed))
     };
     let mut r = router();
     retune(&mut r, |s| s.classes.push(s.classes[VIDEO].clone()));
-    assert!(!sized(&mut r, "large", 4, 2_900.0), "2.9 s do not fit into what is left of 3 s");
-    assert!(!sized(&mut r, "small", 4, 100.0), "most of its requests are as large as the first");
+    assert!(!sized(&mut r, "large", T0 + 2 * S, 4, 2_900.0), "2.9 s do not fit into what is left of 3 s");
+    assert!(!sized(&mut r, "small", T0 + 3 * S, 4, 100.0), "most of its requests are as large as the first");
     retune(&mut r, |s| s.classes.push(Class { window: 9 * S, ..s.classes[VIDEO].clone() }));
-    assert!(sized(&mut r, "other", 4, 100.0));
+    assert!(sized(&mut r, "other", T0 + 4 * S, 4, 100.0));
 }
