While two processes stand, what cold depots bear is halved, and limits on depots are not

Change: Settings.processes divides the budget towards cold depots only. Limits on connections and memory stay halved (net/bounds.rs).

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -95,6 +95,8 @@
     pub routers: u32,
     /// How many of them serve each zone.
     pub routers_by_zone: Vec<u32>,
+    /// Processes that stand in this router's place now, one taking over from another; 0 counts as 1.
+    pub processes: u32,
     /// The classes, by number.
     pub classes: Vec<Class>,
     /// Pace of one answer, KB a second; 0: not told.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -569,7 +569,8 @@
         }
         let share = start.share + (1.0 - start.share) * age as f64 / start.ramp as f64;
         let whole = self.low_size(server) * share * start.multiple * window as f64;
-        Some(COLD_SHARE * whole / self.sharing(&server.member))
+        let processes = f64::from(self.settings.processes.max(1));
+        Some(COLD_SHARE * whole / processes / self.sharing(&server.member))
     }
 
     /// A low size. Danger: sizes guessed from reports of crowded peers pushed caches over.
--- a/src/net/doorman/handover.rs
+++ b/src/net/doorman/handover.rs
@@ -363,7 +363,7 @@
         }
     }
 
-    /// Two processes have half of everything each, as if there were twice as many doormans.
+    /// Two processes have half of the bounds each, and of what cold depots bear.
     fn follow_processes(&mut self) {
         self.follow_limits();
         let settings = self.classes.for_router(&self.settings, self.is_beside());
--- a/src/net/doorman/tests.rs
+++ b/src/net/doorman/tests.rs
@@ -1204,22 +1204,22 @@
     w.doorman.handover = Some(side);
     w.doorman.take_over();
     let alone = w.doorman.bounds;
-    let routers = |d: &Doorman| {
+    let processes = |d: &Doorman| {
         let told = d.told.iter().rev();
-        told.filter_map(|e| if let Event::Settings(s) = e { Some(s.routers) } else { None }).next()
+        told.filter_map(|e| if let Event::Settings(s) = e { Some(s.processes) } else { None }).next()
     };
     let name = std::fs::read_dir(&folder).unwrap().next().unwrap().unwrap().path();
     let mut successor = std::os::unix::net::UnixStream::connect(&name).unwrap();
     successor.write_all(&crate::handover::line(&crate::handover::hello(who))).unwrap();
     w.until("an offer", |d| d.is_beside().then_some(()));
-    assert_eq!(routers(&w.doorman), Some(2));
+    assert_eq!(processes(&w.doorman), Some(2));
     let half = w.doorman.bounds;
     assert!(2 * half.clients <= alone.clients && 2 * half.upstream <= alone.upstream + 1);
     assert!(2 * half.held <= alone.held && 2 * half.bodies <= alone.bodies);
     assert!(w.doorman.life.takes_clients(), "until the other one does");
     drop(successor);
     w.until("its end", |d| (!d.is_beside()).then_some(()));
-    assert_eq!((routers(&w.doorman), w.doorman.bounds), (Some(1), alone));
+    assert_eq!((processes(&w.doorman), w.doorman.bounds), (Some(1), alone));
     std::fs::remove_dir_all(folder).unwrap();
 }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -115,6 +115,7 @@
         Settings {
             zone: self.zone,
             routers: self.balancers,
+            processes: 1,
             routers_by_zone: d.crew_by_zone.clone(),
             classes: self.classes.iter().enumerate().map(|(n, c)| self.class(n, c)).collect(),
             pace_kb_s: d.flow_kb_per_s,
@@ -353,16 +354,11 @@
         self.slots.iter().filter(|s| s.dropped.is_none()).map(|s| s.deadline).max().unwrap_or(0)
     }
 
-    /// What the module is told: these settings, with classes by their numbers. `beside`: two processes share
-    /// what is this doorman's, and each has half, as if there were twice as many doormans.
+    /// What the module is told: these settings, with classes by their numbers. `beside`: two processes stand
+    /// in this doorman's place, and neither may spend what cold depots bear of one.
     pub fn for_router(&self, document: &Document, beside: bool) -> Settings {
         let classes = self.slots.iter().map(|s| s.class.clone()).collect();
-        let mut settings = Settings { classes, ..document.for_router() };
-        if beside {
-            settings.routers = settings.routers.max(1).saturating_mul(2);
-            settings.routers_by_zone.iter_mut().for_each(|r| *r = (*r).max(1).saturating_mul(2));
-        }
-        settings
+        Settings { classes, processes: 1 + u32::from(beside), ..document.for_router() }
     }
 }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -28,6 +28,7 @@
     Settings {
         zone: 3,
         routers: 4,
+        processes: 1,
         routers_by_zone: vec![0, 0, 0, 2, 2],
         classes: vec![
             class(0, 0, false, Effect::Safe, Group::All),
--- a/tests/new_settings.rs
+++ b/tests/new_settings.rs
@@ -66,10 +66,7 @@
     let to_cold = |times: u32| {
         let cold = Member { started: T0 - 3 * S, ..member("cold", Role::Cache, 3, 8.0) };
         let origin = member("origin", Role::Origin, 0, 1.0);
-        let mut set = settings();
-        set.routers *= times;
-        set.routers_by_zone.iter_mut().for_each(|r| *r *= times);
-        let mut r = router_with(set, vec![cold, origin]);
+        let mut r = router_with(Settings { processes: times, ..settings() }, vec![cold, origin]);
         let sent = |n: &u64| sends(&ask(&mut r, T0, &format!("{n}"), VIDEO, *n));
         (0..100).filter(sent).count()
     };
