--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -139,6 +139,16 @@
     assert!(first.call("status").starts_with("error"), "it takes no clients any more");
     assert!(first.call("standby").starts_with("error replaced"));
     assert!(folder.file("state").is_some() && folder.file("sock").is_some());
+    // While both stand: new settings reach both, and the one that serves can be emptied and filled again.
+    for process in [&first, &second] {
+        process.signal("-HUP");
+        let taken = || process.call("stats").contains("proxy_reload_success_total 1\n");
+        assert!((0..1_000).any(|_| taken()), "SIGHUP is not heard");
+    }
+    assert_eq!(second.call("standby"), "done standby\n");
+    assert_ne!(ready(&listen), 20);
+    assert_eq!(second.call("active"), "done serving\n");
+    assert_eq!(ready(&listen), 20);
     // Connections that wait while the first one ends are all answered by the second.
     let waiting: Vec<_> = (0..50).map(|_| TcpStream::connect(&listen).unwrap()).collect();
     assert_eq!(first.end().code(), Some(0));
