--- a/src/lifecycle/tests.rs
+++ b/src/lifecycle/tests.rs
@@ -74,6 +74,12 @@
     let mut life = serving();
     life.handle(T, Event::Terminate { longest: 3_600 * SECOND }).unwrap();
     assert_eq!(life.last_answers(), Some(T + LONGEST_DRAIN + DRAIN_SPARE));
+    // Out of standby it ends as from anywhere else, and begins what still comes.
+    let mut life = serving();
+    life.handle(T, Event::Standby).unwrap();
+    life.handle(T + 3 * SECOND, Event::Terminate { longest: SECOND }).unwrap();
+    assert!(life.begins(T + 3 * SECOND) && !life.ends_all(T + 4 * SECOND));
+    assert!(!life.is_over(T + 3 * SECOND, nothing) && life.is_over(T + 3 * SECOND + LINGER, nothing));
     // With a successor at the same queue nothing new comes: only its own connections are waited for.
     let mut life = serving();
     life.handle(T, Event::Successor { shared: true }).unwrap();
--- a/src/net/doorman/handover.rs
+++ b/src/net/doorman/handover.rs
@@ -338,12 +338,11 @@
     }
 
     fn purges_in_force(&self) -> Vec<(Option<u64>, u64, u64)> {
-        let last = self.purges.iter().rev().take(handover::MOST_PURGES);
         let purge = |&(_, what, when_ms): &(Time, Purge, u64)| match what {
             Purge::Object(object) => (Some(object), 0, when_ms),
             Purge::Group(group) => (None, group, when_ms),
         };
-        last.map(purge).collect()
+        self.purges.iter().map(purge).collect()
     }
 
     /// Takes up what the process before left in force.
@@ -366,8 +365,7 @@
     /// Two processes have half of the bounds each, and of what cold depots bear.
     fn follow_processes(&mut self) {
         self.follow_limits();
-        let settings = self.classes.for_router(&self.settings, self.is_beside());
-        self.events.push_back(Event::Settings(Box::new(settings)));
+        self.tell_settings();
         // What is idle above the bounds goes at once; what is in use as it ends.
         let over = self.pool.len().saturating_sub(self.bounds.upstream);
         for token in self.pool.idle(self.now, 0).into_iter().take(over) {
--- a/src/net/doorman/news.rs
+++ b/src/net/doorman/news.rs
@@ -69,9 +69,7 @@
         if new.settings != self.settings {
             self.settings = new.settings;
             self.adopt_classes();
-            self.events.push_back(Event::Settings(Box::new(
-                self.classes.for_router(&self.settings, self.is_beside()),
-            )));
+            self.tell_settings();
         }
         self.follow_limits();
         if new.channel != self.feed.address() {
@@ -83,6 +81,12 @@
         }
     }
 
+    /// Tells the module the settings as they are now, with as many processes as there are.
+    pub(super) fn tell_settings(&mut self) {
+        let settings = self.classes.for_router(&self.settings, self.is_beside());
+        self.events.push_back(Event::Settings(Box::new(settings)));
+    }
+
     /// Gives the classes of the settings their numbers and their counts.
     pub(super) fn adopt_classes(&mut self) {
         self.classes.adopt(self.now, &self.settings);
@@ -175,6 +179,9 @@
             Command::Purge { what, when_ms } => {
                 let age = self.now.saturating_sub(self.clock.of_unix_ms(when_ms));
                 debug!(self.log, "purge"; "what" => ?what, "age_ms" => age / 1000);
+                if self.purges.len() >= crate::handover::MOST_PURGES {
+                    self.purges.pop_front();
+                }
                 self.purges.push_back((self.now, what, when_ms));
                 let (object, group) = match what {
                     Purge::Object(object) => (Some(object), 0),
--- a/src/net/doorman/tests.rs
+++ b/src/net/doorman/tests.rs
@@ -1033,6 +1033,10 @@
     w.skip(crate::lifecycle::LEAVES_AFTER + SWEEP);
     w.ended(&mut busy);
     w.ended(&mut late);
+    // New settings are taken over meanwhile, and change nothing about it.
+    let same = w.config.to_string();
+    assert!(w.reconfigure("standby", &same));
+    assert_eq!(w.call("status\n"), "error not serving: standby\n");
     // Much later a request is refused at once, and its connection closed.
     w.skip(2_000 * MS);
     let mut last = w.client();
@@ -1260,3 +1264,30 @@
     w.until("its end", |_| silent.read(&mut [0]).ok().filter(|n| *n == 0).map(|_| ()));
     std::fs::remove_dir_all(folder).unwrap();
 }
+
+#[test]
+fn purges_in_force_go_along_with_their_age() {
+    let folder = std::env::temp_dir().join(format!("larchdale-{}-purges", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let (mut old, mut new) = (World::new(), World::new());
+    let who = Identity { name: "t".into(), listen: old.doorman.listen };
+    let side = Handover::new(folder.clone(), who.clone(), None, false, &mut old.doorman.event_loop);
+    old.doorman.handover = Some(side);
+    old.doorman.take_over();
+    let when_ms = std::time::UNIX_EPOCH.elapsed().unwrap().as_millis() as u64 - 3_000;
+    old.doorman.command(Command::Purge { what: Purge::Group(17), when_ms });
+    let (place, asking, log) = (folder.clone(), who.clone(), old.doorman.log.clone());
+    let asks = std::thread::spawn(move || handover::find(&place, &asking, &log).unwrap());
+    old.until("the next process", |d| d.is_beside().then_some(()));
+    let found = asks.join().unwrap();
+    assert!(found.is_some());
+    let side = Handover::new(folder.clone(), who, found, false, &mut new.doorman.event_loop);
+    new.doorman.handover = Some(side);
+    new.doorman.inherit();
+    new.doorman.settle();
+    let told = new.doorman.told.iter().any(
+        |e| matches!(e, Event::Purged { object: None, group: 17, age } if (2_900 * MS..60_000 * MS).contains(age)),
+    );
+    assert!(told && new.doorman.is_beside());
+    std::fs::remove_dir_all(folder).unwrap();
+}
