--- a/src/management/mod.rs
+++ b/src/management/mod.rs
@@ -207,6 +207,13 @@
     }
 }
 
+/// For the log: what each class came to, served, refused and failed.
+impl std::fmt::Display for Figures {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        self.replies.iter().try_for_each(|r| write!(f, "{} {:?} ", r.class, r.ended))
+    }
+}
+
 /// A name as the value of a label: backslash, quote and line feed are written with a backslash before them.
 fn escaped(name: &str) -> String {
     name.replace('\\', "\\\\").replace('"', "\\\"").replace('\n', "\\n")
--- a/src/net/doorman.rs
+++ b/src/net/doorman.rs
@@ -178,9 +178,6 @@
 #[derive(Debug, Default)]
 struct Figures {
     requests: u64,
-    served: u64,
-    refused: u64,
-    failed: u64,
     left: u64,
     attempts: u64,
     dials: u64,
@@ -511,7 +508,7 @@
 
     fn report(&mut self) {
         let broken = super::BROKEN_INVARIANTS.load(Ordering::Relaxed);
-        info!(self.log, "figures"; "counts" => ?self.figures, "clients" => self.clients.len(),
+        info!(self.log, "figures"; "counts" => ?self.figures, "replies" => %self.counts, "clients" => self.clients.len(),
               "links" => self.pool.len(), "open" => self.requests.len(), "broken_invariants" => broken);
         (self.figures.latest_timer, self.figures.longest_turn) = (0, 0);
         if let Some(registry) = &self.registry {
--- a/src/net/doorman/clients.rs
+++ b/src/net/doorman/clients.rs
@@ -306,12 +306,11 @@
         open.done = true;
         let (token, stream, ended) = (open.client, open.stream, open.attempt.is_none());
         debug!(self.log, "answer"; "request" => %id, "reply" => reply.name());
-        let (end, count) = match reply {
-            Reply::Served(_) | Reply::StillGood => (End::Success, &mut self.figures.served),
-            Reply::Refused { .. } => (End::Overload, &mut self.figures.refused),
-            Reply::Failed => (End::Error, &mut self.figures.failed),
+        let end = match reply {
+            Reply::Served(_) | Reply::StillGood => End::Success,
+            Reply::Refused { .. } => End::Overload,
+            Reply::Failed => End::Error,
         };
-        *count += 1;
         self.counts.ended(open.counted, end);
         if ended {
             self.forget(id);
