A depot answering again after failed dials is taken as a new process under the cold rule

The list tells that start (started_ms set) only at 16.57 s, after the fall; n1 alone sends to that box (n0 and n2 serve the other branch).

At fault: Doorman::lose_link and link_ready, which saw the failed dials and the first open connection and told nobody, so Router::cold_budget had started == 0.

Change: the pool notes a listed depot whose dial failed while no connection dialed before it was open; the first connection to it that opens after that (or had opened already) gives its dial moment as the depot's start, through Membership::restarted, to the module. What the list tells later goes before it. A failed dial while an older connection is open (a full table) changes nothing.

Test: a_depot_that_answers_again_after_a_failed_dial_is_a_new_process_that_starts_cold (fails without the call to Membership::restarted).

--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -252,6 +252,17 @@
         self.queue(&id);
     }
 
+    /// A depot's process that could not be reached answers again: a new one, started at the latest at `at`.
+    /// Guards the cold rule where the list tells the start late or never; what it tells later goes before this.
+    pub fn restarted(&mut self, now: Time, id: &str, at: Time) {
+        let Some(slot) = self.slots.get(id) else { return };
+        if slot.entry.listed != Listed::Healthy || slot.entry.started >= at {
+            return;
+        }
+        let entry = Entry { started: at, ..slot.entry.clone() };
+        self.set(now, entry);
+    }
+
     /// A depot is there no more.
     pub fn remove(&mut self, now: Time, id: &str) {
         let Some(slot) = self.slots.get_mut(id) else { return };
--- a/src/net/doorman/tests.rs
+++ b/src/net/doorman/tests.rs
@@ -451,6 +451,37 @@
     assert!(codes.contains(&(Code::ConnectFailed, false)) && codes.contains(&(Code::Reset, false)));
 }
 
+#[test]
+fn a_depot_that_answers_again_after_a_failed_dial_is_a_new_process_that_starts_cold() {
+    let mut w = World::new();
+    let address = w.cache.local_addr().unwrap();
+    drop(std::mem::replace(&mut w.cache, StdListener::bind("127.0.0.1:0").unwrap()));
+    let mut client = w.client();
+    client.put(&request(1, 1, "clip"));
+    assert_eq!(w.frame(&mut client).2[0], 50, "nothing listens: refused");
+    let started = |d: &Doorman| {
+        let members = d.told.iter().filter_map(|e| match e {
+            Event::Members { members, .. } => Some(members),
+            _ => None,
+        });
+        members.flatten().filter(|m| &*m.id == CACHE).map(|m| m.started).max()
+    };
+    assert_eq!(started(&w.doorman), Some(0), "listed as started long ago");
+    // A process listens there again; the list says nothing of it.
+    w.cache = StdListener::bind(address).unwrap();
+    w.cache.set_nonblocking(true).unwrap();
+    client.put(&request(2, 2, "clip"));
+    let mut cache = w.cache();
+    assert_eq!(w.command(&mut cache)[0], "want");
+    let at = w.until("a start told to the module", |d| started(d).filter(|&t| t > 0));
+    assert!(at <= w.doorman.now && w.doorman.membership.entry(CACHE).unwrap().started == at);
+    // Reached again with the same process, it is not new again.
+    let told = w.doorman.told.len();
+    client.put(&request(3, 3, "clip"));
+    assert_eq!(w.command(&mut cache)[0], "want");
+    assert!(w.doorman.told[told..].iter().all(|e| !matches!(e, Event::Members { .. })));
+}
+
 #[test]
 fn a_restarted_depot_gets_no_old_connection() {
     let mut w = World::new();
--- a/src/net/doorman/upstream.rs
+++ b/src/net/doorman/upstream.rs
@@ -210,9 +210,13 @@
         }
         let Some(link) = self.pool.link(token) else { return };
         if inbound.opened {
+            let depot = link.depot.clone();
             for id in std::mem::take(&mut link.waiting) {
                 self.write_want(&id);
             }
+            if let Some(at) = self.pool.reached(token) {
+                self.restarted(&depot, at);
+            }
         }
         for answer in inbound.messages {
             if let Err(e) = self.depot_answer(token, answer) {
@@ -283,11 +287,23 @@
         Ok(())
     }
 
+    /// A depot that could not be reached answers again: a new process, started by `at`, which the cold rule covers.
+    fn restarted(&mut self, depot: &Id, at: Time) {
+        debug!(self.log, "depot reached again"; "depot" => %depot, "started_by" => at);
+        self.membership.restarted(self.now, depot, at);
+        self.tell_members(usize::MAX);
+    }
+
     /// Ends a connection and tells how the attempts on it ended.
     pub(super) fn lose_link(&mut self, token: Token) {
         let Some(mut link) = self.pool.remove(token) else { return };
         match link.conn.state() {
-            State::Dialing | State::Closed(Closed::NeverOpened) => self.figures.dials_failed += 1,
+            State::Dialing | State::Closed(Closed::NeverOpened) => {
+                self.figures.dials_failed += 1;
+                if let Some(at) = self.pool.unreached(&link.depot, link.dialed) {
+                    self.restarted(&link.depot, at);
+                }
+            }
             State::Closed(Closed::Lost) if !link.out.is_empty() => {
                 self.figures.lost += 1;
                 self.pool.broke(&link, self.now);
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -3,7 +3,7 @@
 #[cfg(test)]
 mod tests;
 
-use super::connection::Connection;
+use super::connection::{Connection, State};
 use crate::interface::{Id, Time};
 use mio::net::TcpStream;
 use mio::Token;
@@ -102,6 +102,8 @@
     /// Connections that rested for so long are not used again.
     stale_after: Time,
     longest_rest: Time,
+    /// Listed depots that a dial failed to reach while no connection to them was open, and since when.
+    unreached: FxHashMap<Id, Time>,
 }
 
 impl<T: super::connection::Transport> Pool<T> {
@@ -116,6 +118,7 @@
             most_each,
             stale_after: longest_rest,
             longest_rest,
+            unreached: FxHashMap::default(),
         }
     }
 
@@ -144,6 +147,31 @@
     /// Forgets a depot that is gone: machines come and go without end. Its connections end when they are idle.
     pub fn unlist(&mut self, id: &str) {
         self.depots.remove(id);
+        self.unreached.remove(id);
+    }
+
+    /// Notes that a dial to a depot, begun at `dialed`, failed. Where no connection dialed before it is open, no
+    /// process of the depot may have been running then; one that answers on a later dial started since. Gives the
+    /// dial of such a connection where one is open already.
+    pub fn unreached(&mut self, depot: &Id, dialed: Time) -> Option<Time> {
+        let open = |t: &Token| self.links.get(t).filter(|l| l.conn.state() == State::Open).map(|l| l.dialed);
+        let opened: Vec<Time> = self.tokens(depot).iter().filter_map(open).collect();
+        if !self.depots.contains_key(depot) || opened.iter().any(|&d| d < dialed) {
+            return None;
+        }
+        let since = opened.into_iter().min();
+        if since.is_none() {
+            self.unreached.entry(depot.clone()).or_insert(dialed);
+        }
+        since
+    }
+
+    /// A connection has opened. Where its depot could not be reached before, what answers now is a process that
+    /// started since, cold and empty: the moment of its dial, at the latest, is given.
+    /// Guards the cold rule where the list tells of a restart only seconds after it, or not at all.
+    pub fn reached(&mut self, token: Token) -> Option<Time> {
+        let link = self.links.get(&token)?;
+        self.unreached.remove(&link.depot).map(|_| link.dialed)
     }
 
     fn tokens(&self, depot: &str) -> &[Token] {
