Pool: depots that could not be reached are a set; the moment was never read

A last read of the change: the time kept for each unreached depot went unused, the start is the dial of the connection that opens. No change in behaviour; the test of restarted depots passes.

--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -7,7 +7,7 @@
 use crate::interface::{Id, Time};
 use mio::net::TcpStream;
 use mio::Token;
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use std::net::SocketAddr;
 
 /// An open connection on which something was asked and nothing at all came back for this long may lead to a
@@ -102,8 +102,8 @@
     /// Connections that rested for so long are not used again.
     stale_after: Time,
     longest_rest: Time,
-    /// Listed depots that a dial failed to reach while no connection to them was open, and since when.
-    unreached: FxHashMap<Id, Time>,
+    /// Listed depots that a dial failed to reach while no connection to them was open.
+    unreached: FxHashSet<Id>,
 }
 
 impl<T: super::connection::Transport> Pool<T> {
@@ -118,7 +118,7 @@
             most_each,
             stale_after: longest_rest,
             longest_rest,
-            unreached: FxHashMap::default(),
+            unreached: FxHashSet::default(),
         }
     }
 
@@ -161,7 +161,7 @@
         }
         let since = opened.into_iter().min();
         if since.is_none() {
-            self.unreached.entry(depot.clone()).or_insert(dialed);
+            self.unreached.insert(depot.clone());
         }
         since
     }
@@ -171,7 +171,7 @@
     /// Guards the cold rule where the list tells of a restart only seconds after it, or not at all.
     pub fn reached(&mut self, token: Token) -> Option<Time> {
         let link = self.links.get(&token)?;
-        self.unreached.remove(&link.depot).map(|_| link.dialed)
+        self.unreached.remove(&link.depot).then_some(link.dialed)
     }
 
     fn tokens(&self, depot: &str) -> &[Token] {
