Hot objects are served from copies in the doorman's own memory, within its own link

Off where flow_bytes_per_s or link_bytes_per_s is absent or 0; below 0 is an error naming the key. Bounds::copies, an eighth of the memory, in net/bounds.rs.

Ruled out: plain least recently used (an eighth of 32 MB holds one second's answers); serving beyond four fifths of the fresh time (a depot renews an ageing copy behind, for which it must be asked).

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 #![warn(missing_docs)]
 
 pub mod cli;
+pub mod copies;
 pub mod handover;
 pub mod interface;
 pub mod lifecycle;
--- a/src/net/bounds.rs
+++ b/src/net/bounds.rs
@@ -16,6 +16,8 @@
 /// The parts of the memory that may be held for clients, read or to be written, and by bodies of requests.
 const HELD_PART: usize = 4;
 const BODIES_PART: usize = 8;
+/// The part of the memory for copies of objects that the doorman serves itself.
+const COPIES_PART: usize = 8;
 /// Fewer than this of either kind of connection serve nobody.
 const LEAST: usize = 4;
 
@@ -32,6 +34,8 @@
     pub held: usize,
     /// Bytes of bodies that open requests hold together; beyond, requests are refused.
     pub bodies: usize,
+    /// Bytes of copies held; beyond, those that are used least go.
+    pub copies: usize,
 }
 
 impl Bounds {
@@ -50,6 +54,7 @@
             upstream,
             held: memory / HELD_PART,
             bodies: memory / BODIES_PART,
+            copies: memory / COPIES_PART,
         }
     }
 }
@@ -66,7 +71,7 @@
             let bounds = Bounds::of(&limits, false, false);
             assert!(bounds.clients + bounds.upstream + RESERVED <= sockets);
             assert!(bounds.clients - bounds.mute > sockets / 3, "clients that behave have room");
-            assert!(bounds.held + bounds.bodies < memory_mb << 19);
+            assert!(bounds.held + bounds.bodies + bounds.copies <= memory_mb << 19);
         }
     }
 
@@ -79,7 +84,7 @@
                 let bounds = Bounds::of(&limits, true, beside);
                 let held = bounds.clients + bounds.upstream + RESERVED + DOOR;
                 assert!(processes * held <= sockets, "{sockets} {beside}: {bounds:?}");
-                assert!(processes * (bounds.held + bounds.bodies) < memory_mb << 19);
+                assert!(processes * (bounds.held + bounds.bodies + bounds.copies) <= memory_mb << 19);
             }
         }
     }
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -31,6 +31,8 @@
     pub cursor: u64,
     /// The events up to the start.
     pub known: Vec<Command>,
+    /// Bytes a second of one transfer of a copy of its own, and of all of them together; 0: it serves none.
+    pub own_link: (f64, f64),
     /// The settings.
     pub settings: Document,
     /// Every key that the file has.
@@ -90,6 +92,10 @@
     limits: Limits,
     channel: String,
     #[serde(default)]
+    flow_bytes_per_s: f64,
+    #[serde(default)]
+    link_bytes_per_s: f64,
+    #[serde(default)]
     known: Known,
     settings: Document,
 }
@@ -191,6 +197,12 @@
         let command = |event: KnownEvent| known(event, &settings);
         let known = file.known.cmds.into_iter().map(command).collect::<Result<Vec<_>, _>>()?;
         settings.check().map_err(|(what, value)| ConfigError::Value(what, value))?;
+        let own_link = (file.flow_bytes_per_s, file.link_bytes_per_s);
+        for (what, value) in [("flow_bytes_per_s", own_link.0), ("link_bytes_per_s", own_link.1)] {
+            if value < 0.0 {
+                return Err(ConfigError::Value(what, format!("{value} (0 or above)")));
+            }
+        }
         Ok(Config {
             name: file.name,
             listen: address("listen", file.listen)?,
@@ -205,6 +217,7 @@
             channel: address("channel", file.channel)?,
             cursor: file.known.cursor,
             known,
+            own_link,
             settings,
             keys,
         })
--- a/src/net/doorman.rs
+++ b/src/net/doorman.rs
@@ -3,6 +3,7 @@
 //! It owns the open requests and their attempts. Everything is done within one turn of one loop on one thread.
 
 mod clients;
+mod copies;
 mod handover;
 mod inbound;
 mod lifecycle;
@@ -10,6 +11,7 @@
 mod news;
 #[cfg(test)]
 mod tests;
+mod upkeep;
 mod upstream;
 
 use self::handover::{Found, Handover};
@@ -26,6 +28,7 @@
 use super::proto::frames::{self, ClientMessage};
 use super::proto::resp::{self, Answer, Word};
 use super::proto::{Ask, Malformed, Reply};
+use crate::copies::Copies;
 use crate::handover::Identity;
 use crate::interface::{
     Action, Code, Effect, Event, Fetch, Id, Listed, Note, Outcome, Report, Request, Time,
@@ -184,6 +187,8 @@
     dials_failed: u64,
     lost: u64,
     late_answers: u64,
+    /// Requests served from a copy of its own.
+    own_copies: u64,
     dropped: u64,
     bad_clients: u64,
     bad_depots: u64,
@@ -209,6 +214,9 @@
     /// Every key of the running configuration.
     keys: BTreeSet<String>,
     limits: Limits,
+    /// Pace of one transfer of a copy of its own, and of all of them.
+    own_link: (f64, f64),
+    copies: Copies,
     settings: Document,
     classes: Classes,
     router: Router,
@@ -282,6 +290,8 @@
             product_path: None,
             keys: config.keys,
             limits: config.limits,
+            own_link: config.own_link,
+            copies: Copies::default(),
             classes,
             router,
             event_loop,
@@ -482,37 +492,4 @@
             Action::Watch => {}
         }
     }
-
-    // ---- upkeep ----
-
-    fn sweep(&mut self) {
-        self.timers.set(self.now + SWEEP, Due::Sweep);
-        self.tend_feed();
-        let kept = PURGES_KEPT.max(self.settings.domain.purge_done_us.saturating_mul(2));
-        while self.purges.front().is_some_and(|p| self.now.saturating_sub(p.0) > kept) {
-            self.purges.pop_front();
-        }
-        for token in self.pool.rested(self.now) {
-            self.lose_link(token);
-        }
-        self.sweep_clients();
-        if let Some(door) = &mut self.door {
-            door.sweep(self.now, &mut self.event_loop);
-        }
-        if let Some(handover) = &mut self.handover {
-            handover.sweep(self.now);
-        }
-        let open = self.requests.values().filter(|o| !o.done).count();
-        invariant!(self.counts.concurrent() == open as u64, "what is taken is open or has ended");
-    }
-
-    fn report(&mut self) {
-        let broken = super::BROKEN_INVARIANTS.load(Ordering::Relaxed);
-        info!(self.log, "figures"; "counts" => ?self.figures, "replies" => %self.counts, "clients" => self.clients.len(),
-              "links" => self.pool.len(), "open" => self.requests.len(), "broken_invariants" => broken);
-        (self.figures.latest_timer, self.figures.longest_turn) = (0, 0);
-        if let Some(registry) = &self.registry {
-            registry.report(self.now, &self.membership.counts());
-        }
-    }
 }
--- a/src/net/doorman/clients.rs
+++ b/src/net/doorman/clients.rs
@@ -296,6 +296,9 @@
             let pause_ms = self.settings.limits.max_retry_after_us / MS;
             return self.answer(&id, Reply::Refused { pause_ms });
         }
+        if let Some(reply) = self.own_copy(&id) {
+            return self.answer(&id, reply);
+        }
         self.timers.set(self.now + patience - LAST_MARGIN.min(patience / 8), Due::Request(id));
         self.events.push_back(Event::Request(request));
     }
--- /dev/null
+++ b/src/net/doorman/copies.rs
@@ -0,0 +1,84 @@
+//! Copies of the doorman's own: what depots answer may be kept, and what clients ask for may be served from it.
+
+use super::*;
+use crate::copies::{self, Copy, Given, Wish};
+
+/// Whether a purge makes copies of what is asked for void.
+pub(super) fn voids(what: Purge, ask: &Ask) -> bool {
+    match what {
+        Purge::Object(object) => object == ask.entity.1,
+        Purge::Group(group) => group == ask.batch,
+    }
+}
+
+impl Doorman {
+    /// Bounds as the limits have them, and the link as the configuration has it. Two processes share it.
+    pub(super) fn limit_copies(&mut self) {
+        let (flow, link) = self.own_link;
+        let processes = 1.0 + f64::from(u8::from(self.is_beside()));
+        self.copies.limit(copies::Limits { held: self.bounds.copies, flow, link: link / processes });
+    }
+
+    /// The answer to a request from a copy of the doorman's own, if there is one that will do and comes in time.
+    /// Guards the rule on purges: while the command channel is silent, purges may have been made that nobody told.
+    pub(super) fn own_copy(&mut self, id: &Id) -> Option<Reply> {
+        if !self.copies.any() {
+            return None;
+        }
+        let open = self.requests.get(id)?;
+        let (key, fresh, aim) = self.copied(open)?;
+        self.copies.asked(self.now, key);
+        if !self.feed.is_current(self.now) {
+            return None;
+        }
+        let wish = Wish { key, fresh, aim, got: self.requests.get(id)?.ask.got.as_deref() };
+        let reply = match self.copies.serve(self.now, wish)? {
+            Given::Bytes(body) => Reply::Served(body.to_vec()),
+            Given::StillGood => Reply::StillGood,
+        };
+        self.figures.own_copies += 1;
+        Some(reply)
+    }
+
+    /// Keeps what a depot answers, where it is worth its room and no purge in force is later than it.
+    pub(super) fn keep_copy(&mut self, id: &Id, answer: &Answer) {
+        let Some(open) = self.requests.get(id) else { return };
+        let Some((key, ..)) = self.copied(open) else { return };
+        if !self.copies.wants(self.now, &key, answer.body.len()) {
+            return;
+        }
+        // Without both nothing tells which copy it is, and how old.
+        let minted = answer.field("minted").and_then(|m| m.parse::<u64>().ok());
+        let (Some(minted_ms), Some(tag)) = (minted, answer.field("tag")) else { return };
+        let later = |p: &(Time, Purge, u64)| p.2 >= minted_ms && voids(p.1, &open.ask);
+        if self.purges.iter().any(later) {
+            return;
+        }
+        let (minted, group) = (self.clock.of_unix_ms(minted_ms), open.ask.batch);
+        let copy = Copy { tag: tag.to_owned(), minted, group, body: answer.body.clone() };
+        self.copies.keep(self.now, key, copy);
+    }
+
+    /// What was purged is served from no copy here.
+    pub(super) fn void_copies(&mut self, what: Purge, when_ms: u64) {
+        let at = self.clock.of_unix_ms(when_ms);
+        match what {
+            Purge::Object(object) => self.copies.void(Some(object), 0, at),
+            Purge::Group(group) => self.copies.void(None, group, at),
+        }
+    }
+
+    /// Which copy would answer a request, how long it is fresh, and within what time the answer is wanted; `None`:
+    /// no copy may.
+    fn copied(&self, open: &Open) -> Option<(copies::Key, Time, Time)> {
+        match self.classes.named(self.now, &open.ask.route) {
+            Named::Class(number, _, class) if number == open.class => {
+                let reads = !class.uncacheable && class.effect == Effect::Safe && open.ask.body.is_empty();
+                let sending = open.ask.size_kb / self.settings.domain.flow_kb_per_s.max(1.0) * 1e6;
+                let aim = class.aim + (class.aim_stretch.max(1.0) * sending) as Time;
+                reads.then_some(((number, open.ask.entity.1, open.ask.nth), class.fresh, aim))
+            }
+            _ => None,
+        }
+    }
+}
--- a/src/net/doorman/news.rs
+++ b/src/net/doorman/news.rs
@@ -7,7 +7,7 @@
         let mut inbound = Inbound::new(command_channel::decode);
         self.feed.ready(self.now, event.readable, event.writable, &mut inbound);
         for numbered in inbound.messages {
-            if self.feed.takes(&numbered) {
+            if self.feed.takes(self.now, &numbered) {
                 if let Some(command) = numbered.1 {
                     self.command(command);
                     self.settle();
@@ -64,7 +64,7 @@
         info!(self.log, "configuration read again"; "channel" => %new.channel,
               "classes" => ?new.settings.classes.iter().map(|c| &c.name).collect::<Vec<_>>());
         self.counts.reloads[0] += 1;
-        self.limits = new.limits;
+        (self.limits, self.own_link) = (new.limits, new.own_link);
         self.keys = new.keys;
         if new.settings != self.settings {
             self.settings = new.settings;
@@ -98,6 +98,7 @@
     /// Bounds as the limits, and the settings on connections, have them.
     pub(super) fn follow_limits(&mut self) {
         self.bounds = Bounds::of(&self.limits, self.door.is_some(), self.is_beside());
+        self.limit_copies();
         let limits = &self.settings.limits;
         // Somewhat before the depots close it: a want must not cross their close.
         self.pool.retune(limits.multiplex, self.bounds.upstream, limits.conn_idle_us / 10 * 9);
@@ -183,6 +184,7 @@
                     self.purges.pop_front();
                 }
                 self.purges.push_back((self.now, what, when_ms));
+                self.void_copies(what, when_ms);
                 let (object, group) = match what {
                     Purge::Object(object) => (Some(object), 0),
                     Purge::Group(group) => (None, group),
--- a/src/net/doorman/tests.rs
+++ b/src/net/doorman/tests.rs
@@ -1,6 +1,8 @@
 //! The doorman on real sockets, with depots, clients and a command channel played by the test. Nothing here
 //! rests on timing: the doorman is turned until what is awaited has come, and time is skipped, not waited for.
 
+mod copies;
+
 use super::*;
 use bytes::{BufMut, BytesMut};
 use std::io::{Read, Write};
@@ -73,6 +75,11 @@
 
 impl World {
     fn new() -> Self {
+        World::with(|_| {})
+    }
+
+    /// One whose configuration has a change.
+    fn with(change: impl FnOnce(&mut serde_json::Value)) -> Self {
         let bind = || StdListener::bind("127.0.0.1:0").unwrap();
         let (cache, origin, channel) = (bind(), bind(), bind());
         let entry = |id: &str, listener: &StdListener, kind: &str| {
@@ -82,11 +89,12 @@
         };
         let nodes = serde_json::json!({"generation": 1, "reset": true,
             "instances": [entry(CACHE, &cache, "box"), entry(ORIGIN, &origin, "archive")]});
-        let config = serde_json::json!({
+        let mut config = serde_json::json!({
             "name": "t", "listen": "127.0.0.1:0", "management": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "channel": channel.local_addr().unwrap().to_string(),
             "known": {"cursor": 41, "cmds": [{"cursor": 41, "nodes": nodes}]}, "settings": settings()});
+        change(&mut config);
         let parsed = Config::parse(&config.to_string(), "test".into()).unwrap();
         let log = Logger::root(slog::Discard, slog::o!());
         let doorman = Doorman::start(parsed, Clock::start(), log).unwrap();
--- /dev/null
+++ b/src/net/doorman/tests/copies.rs
@@ -0,0 +1,159 @@
+//! Copies of the doorman's own, on sockets; and what a class that must never run twice is owed.
+
+use super::*;
+
+/// A doorman that may serve copies of its own, with the command channel's other end.
+fn with_copies() -> (World, Peer) {
+    let mut w = World::with(|c| {
+        (c["flow_bytes_per_s"], c["link_bytes_per_s"]) = (310_000.into(), 1_240_000.into());
+    });
+    let mut channel = w.accept(|w| &w.channel);
+    let cursor = |b: &mut BytesMut| (b.len() >= 8).then(|| b.split_to(8).to_vec());
+    w.message(&mut channel, cursor);
+    (w, channel)
+}
+
+/// An empty frame of the command channel, or a purge of the object that all here ask for.
+fn tells(w: &mut World, channel: &mut Peer, purge: Option<u64>) {
+    let mut event = (if purge.is_some() { 25u32 } else { 9 }).to_be_bytes().to_vec();
+    event.extend(42u64.to_be_bytes());
+    event.push(if purge.is_some() { 3 } else { 0 });
+    if let Some(when_ms) = purge {
+        event.extend(0x7f3a_9c21_e0b4_d655_u64.to_be_bytes());
+        event.extend(when_ms.to_be_bytes());
+    }
+    channel.put(&event);
+    w.until("the frame", |d| d.feed.is_current(d.now).then_some(()));
+    w.silent(channel);
+}
+
+fn unix_ms() -> u64 {
+    std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap().as_millis() as u64
+}
+
+/// Asks for the one object; the cache answers if it is asked, with a copy minted at `minted`. Whether it was.
+fn asks(w: &mut World, client: &mut Peer, cache: &mut Option<Peer>, number: u32, minted: u64) -> bool {
+    client.put(&request(number, number, "clip"));
+    let served = w.doorman.figures.own_copies;
+    w.until("a decision", |d| (d.figures.own_copies > served || !d.requests.is_empty()).then_some(()));
+    let asked = w.doorman.figures.own_copies == served;
+    if asked {
+        let mut depot = cache.take().unwrap_or_else(|| w.cache());
+        assert_eq!(w.command(&mut depot)[1], trace(number));
+        let fields = format!("tag=4be0c1927d55a6f3,minted={minted},note=hit");
+        depot.put(&answer(&trace(number), "ok", &fields, "bytes"));
+        *cache = Some(depot);
+    }
+    assert_eq!(w.frame(client), (8, number, b"\x14\x00bytes".to_vec()));
+    asked
+}
+
+#[test]
+fn what_is_asked_for_again_and_again_is_served_from_a_copy_until_it_is_purged() {
+    let (mut w, mut channel) = with_copies();
+    let (mut client, mut cache, now) = (w.client(), None, unix_ms());
+    tells(&mut w, &mut channel, None);
+    let asked: Vec<bool> = (1..=4).map(|n| asks(&mut w, &mut client, &mut cache, n, now)).collect();
+    assert_eq!(asked, [true, true, false, false], "kept at the second time");
+    // The purge is later than the copy, and what comes from an old copy afterwards is not kept either.
+    tells(&mut w, &mut channel, Some(now + 1));
+    let asked: Vec<bool> = (5..=7).map(|n| asks(&mut w, &mut client, &mut cache, n, now)).collect();
+    assert_eq!(asked, [true, true, true]);
+    let asked: Vec<bool> = (8..=9).map(|n| asks(&mut w, &mut client, &mut cache, n, now + 2)).collect();
+    assert_eq!(asked, [true, false], "a copy from after the purge is");
+    assert!(w.doorman.requests.is_empty() && w.doorman.counts.concurrent() == 0);
+}
+
+#[test]
+fn without_word_from_the_command_channel_no_copy_is_served() {
+    let (mut w, mut channel) = with_copies();
+    let (mut client, mut cache, now) = (w.client(), None, unix_ms());
+    assert!((1..=3).all(|n| asks(&mut w, &mut client, &mut cache, n, now)), "it has not told anything yet");
+    tells(&mut w, &mut channel, None);
+    assert!(!asks(&mut w, &mut client, &mut cache, 4, now));
+    w.skip(1_300 * MS);
+    assert!(asks(&mut w, &mut client, &mut cache, 5, now), "a frame is missing: there may be a purge");
+    tells(&mut w, &mut channel, None);
+    assert!(!asks(&mut w, &mut client, &mut cache, 6, now));
+    drop(channel);
+    w.until("the break", |d| d.feed.token().is_none().then_some(()));
+    assert!(asks(&mut w, &mut client, &mut cache, 7, now));
+}
+
+#[test]
+fn where_the_configuration_gives_no_link_every_request_goes_to_a_depot() {
+    let mut w = World::new();
+    let mut channel = w.accept(|w| &w.channel);
+    w.message(&mut channel, |b: &mut BytesMut| (b.len() >= 8).then(|| b.split_to(8).to_vec()));
+    let (mut client, mut cache, now) = (w.client(), None, unix_ms());
+    tells(&mut w, &mut channel, None);
+    assert!((1..=4).all(|n| asks(&mut w, &mut client, &mut cache, n, now)));
+}
+
+/// What may have run is answered as failed and goes out once only, whatever the depot or its connection does; what
+/// never ran goes out again. The same on the wire for each way in which an attempt can end.
+#[test]
+fn a_class_that_must_never_run_twice_is_written_once_however_its_attempt_ends() {
+    type Ends = fn(&mut World, Peer, &str) -> Option<Peer>;
+    let ways: [(&str, Ends, bool); 6] = [
+        ("the connection breaks", |_, _, _| None, false),
+        (
+            "nothing comes",
+            |w, depot, _| {
+                w.skip(1_500 * MS);
+                Some(depot)
+            },
+            false,
+        ),
+        (
+            "an error",
+            |_, mut depot, id| {
+                depot.put(&answer(id, "error", "-", ""));
+                Some(depot)
+            },
+            false,
+        ),
+        (
+            "an answer that can't be read",
+            |_, mut depot, _| {
+                depot.put(b"?!\r\n");
+                Some(depot)
+            },
+            false,
+        ),
+        (
+            "an answer that stops short",
+            |w, mut depot, id| {
+                depot.put(&answer(id, "ok", "-", "whole")[..20]);
+                w.until("half an answer", |d| d.timers.count().checked_sub(1).map(|_| ()));
+                w.silent(&mut Peer::new(depot.stream.try_clone().unwrap()));
+                w.skip(400 * MS);
+                Some(depot)
+            },
+            false,
+        ),
+        (
+            "it is refused, and never ran",
+            |w, mut depot, id| {
+                depot.put(&answer(id, "refused", "-", ""));
+                assert_eq!(w.command(&mut depot)[1], id);
+                depot.put(&answer(id, "ok", "-", ""));
+                Some(depot)
+            },
+            true,
+        ),
+    ];
+    for (what, ends, again) in ways {
+        let mut w = World::with(|c| c["settings"]["classes"][2]["semantics"] = "at_most_once".into());
+        let mut client = w.client();
+        client.put(&request(1, 1, "edit"));
+        let mut origin = w.accept(|w| &w.origin);
+        assert_eq!(w.command(&mut origin)[1], trace(1));
+        let kept = ends(&mut w, origin, &trace(1));
+        let (_, _, payload) = w.frame(&mut client);
+        assert_eq!(payload[0], if again { 20 } else { 51 }, "{what}");
+        assert_eq!(w.doorman.counts.dispatches, 1 + u64::from(again), "{what}");
+        assert!(again || w.origin.accept().is_err(), "{what}: no other connection is made for it");
+        drop(kept);
+    }
+}
--- a/src/net/doorman/upstream.rs
+++ b/src/net/doorman/upstream.rs
@@ -1,5 +1,6 @@
 //! The depots' side: attempts written, given up and ended, on connections that come and go.
 
+use super::copies::voids;
 use super::*;
 
 impl Attempt {
@@ -61,11 +62,8 @@
     fn still_fits(&self, open: &Open, attempt: &Attempt) -> bool {
         let serves = |id: &str| self.membership.takes_work(id);
         let source = attempt.fetch.as_ref().is_none_or(|f| serves(&f.source));
-        let voids = |what: Purge| match what {
-            Purge::Object(object) => object == open.ask.entity.1,
-            Purge::Group(group) => group == open.ask.batch,
-        };
-        let purged = self.purges.iter().any(|&(told, what, _)| told >= attempt.sent && voids(what));
+        let purged =
+            self.purges.iter().any(|&(told, what, _)| told >= attempt.sent && voids(what, &open.ask));
         serves(&attempt.depot) && source && !purged
     }
 
@@ -271,6 +269,7 @@
         let report = answer.field("load").map(report);
         let code = match answer.word {
             Word::Ok => {
+                self.keep_copy(&id, &answer);
                 self.answer(&id, Reply::Served(answer.body));
                 Code::Served
             }
--- a/src/net/feed.rs
+++ b/src/net/feed.rs
@@ -9,6 +9,8 @@
 
 /// A frame comes each second; after this long without a byte the connection is taken for dead.
 const SILENCE: Time = 2_500_000;
+/// Without a frame for so long there may be purges that have not come: a frame and some delay are missing.
+const CURRENT: Time = 1_200_000;
 /// First pause before a new try, doubled with each that fails.
 const FIRST_PAUSE: Time = 100_000;
 /// Longest pause. What is told counts as heard after 7 s whether it came or not.
@@ -22,12 +24,14 @@
     link: Option<(Token, Connection<TcpStream>)>,
     pause: Time,
     retry_at: Time,
+    /// When its connection last brought a frame.
+    told: Option<Time>,
 }
 
 impl Feed {
     /// One that has the events up to `cursor`.
     pub fn new(address: SocketAddr, cursor: u64) -> Self {
-        Feed { address, cursor, link: None, pause: FIRST_PAUSE, retry_at: 0 }
+        Feed { address, cursor, link: None, pause: FIRST_PAUSE, retry_at: 0, told: None }
     }
 
     /// Where it is.
@@ -39,7 +43,7 @@
     /// to the old one is let go at once, since nothing more is told on it.
     pub fn move_to(&mut self, address: SocketAddr) {
         self.address = address;
-        self.link = None;
+        (self.link, self.told) = (None, None);
         (self.pause, self.retry_at) = (FIRST_PAUSE, 0);
     }
 
@@ -68,7 +72,8 @@
     }
 
     /// Whether an event is new; moves the cursor past it.
-    pub fn takes(&mut self, numbered: &Numbered) -> bool {
+    pub fn takes(&mut self, now: Time, numbered: &Numbered) -> bool {
+        self.told = Some(now);
         let new = numbered.1.is_some() && numbered.0 > self.cursor;
         if new {
             self.cursor = numbered.0;
@@ -77,6 +82,11 @@
         new
     }
 
+    /// Whether it tells what happens: a frame has come on this connection, and lately.
+    pub fn is_current(&self, now: Time) -> bool {
+        self.told.is_some_and(|t| now.saturating_sub(t) <= CURRENT)
+    }
+
     /// Whether there is more to read than one turn took.
     pub fn has_unread(&self) -> bool {
         self.link.as_ref().is_some_and(|l| l.1.has_unread())
@@ -92,7 +102,7 @@
 
     /// Lets the connection go; a new one is due after a pause.
     pub fn drop_link(&mut self, now: Time) {
-        self.link = None;
+        (self.link, self.told) = (None, None);
         self.retry_at = now + self.pause;
         self.pause = (self.pause * 2).min(LONGEST_PAUSE);
     }
