The doormans keep a view of their fleet: SWIM with Lifeguard over the peers' datagrams

src/gossip (no I/O, no clock): incarnations, alive / suspect / dead / left ordered so that views merge whatever the order; probes, indirect ones through three others, suspicions that end sooner with independent accusers and last longer where this doorman hears little; updates on every datagram, bounded in their retransmissions, and some of the view in turn. Who is heard itself is not held to be dead on another's word. Datagrams of 256 bytes at most (postcard, a version byte); what can't be read is counted. net/doorman/peers.rs drives it: one UDP socket, a bounded queue, a budget a second (settings.limits peer-datagrams-per-s, 100 where absent, 0 is an error), probes of doormans only. On where the configuration gives peers and peer_listen and the settings may-tell; else nothing is opened. A doorman that ends on SIGTERM says so; one that is replaced hands its address to the process after it. Figures at the door and in the log.

Not chosen: full-state exchange over 256 bytes (a few entries in turn go along instead), members removed when dead (one is asked again each period, or halves that heal would not meet).

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,4 +6,6 @@
 pub mod checker;
 pub mod clients;
 pub mod depots;
+pub mod fleet;
+pub mod processes;
 pub mod registry;
--- /dev/null
+++ b/src/gossip/mod.rs
@@ -0,0 +1,542 @@
+//! The fleet's own view: which doormans there are, kept by themselves.
+//!
+//! SWIM (Das, Gupta and Motivala, 2002) with what Lifeguard adds (Dadgar, Phillips and Currey, 2018): a doorman that
+//! hears little itself is slower to accuse others, a suspicion ends the sooner the more accuse independently, and who
+//! is suspected is told with every datagram. No input or output and no clock: fed time and datagrams, it gives
+//! datagrams and changes of the view. The driver is `net/doorman/peers.rs`.
+//!
+//! What is held of a member is ordered by incarnation, then by state, and only ever moves up: views that have heard
+//! the same updates agree, in whatever order and however often those came.
+
+pub mod message;
+#[cfg(test)]
+mod tests;
+
+use self::message::{decode, encode, Head, Kind, Undecodable, Update};
+pub use self::message::{Incarnation, MemberId, State};
+use crate::interface::Time;
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg32;
+
+/// Steps of local health: with each of them this doorman waits longer before it holds others to be silent.
+const HEALTH_STEPS: u32 = 8;
+/// Pings made for others that are not answered yet; beyond, the oldest is forgotten.
+const RELAYS: usize = 64;
+/// Entries of the view that go along where no news does, so that what was lost for all is said again.
+const REFRESH: usize = 4;
+
+/// How a doorman keeps its view.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Config {
+    /// Its own number.
+    pub me: MemberId,
+    /// How many there are at most: the numbers below this.
+    pub members: MemberId,
+    /// One member is probed in each.
+    pub period: Time,
+    /// An answer takes no longer, else others are asked to look.
+    pub timeout: Time,
+    /// How many others.
+    pub indirect: usize,
+    /// An update goes along with so many datagrams, times the logarithm of the number of members.
+    pub spread: f64,
+    /// Periods that a suspicion lasts at least (times the decimal logarithm of the number of members, from 10 on).
+    pub suspicion: f64,
+    /// How much longer it lasts at first, until others confirm it.
+    pub unconfirmed: f64,
+    /// Confirmations that bring it down to the least.
+    pub confirmations: usize,
+}
+
+impl Config {
+    /// The ordinary way for so many members.
+    pub fn of(me: MemberId, members: MemberId) -> Self {
+        Config {
+            me,
+            members,
+            period: 500_000,
+            timeout: 150_000,
+            indirect: 3,
+            spread: 3.0,
+            suspicion: 2.0,
+            unconfirmed: 3.0,
+            confirmations: 2,
+        }
+    }
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Send a datagram.
+    Send {
+        /// To whom.
+        to: MemberId,
+        /// At most [`message::LARGEST`].
+        bytes: Vec<u8>,
+    },
+    /// The view has changed.
+    Changed {
+        /// Whose entry.
+        member: MemberId,
+        /// What is held of it now.
+        state: State,
+        /// In which incarnation.
+        incarnation: Incarnation,
+    },
+}
+
+/// What is counted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Datagrams given out and taken.
+    pub sent: u64,
+    /// See above.
+    pub received: u64,
+    /// Datagrams that could not be read.
+    pub undecodable: u64,
+    /// Members suspected here, by this doorman or on another's word.
+    pub suspected: u64,
+    /// Suspicions that the member denied.
+    pub refuted: u64,
+    /// Members held to be dead here.
+    pub died: u64,
+}
+
+/// A suspicion of which this doorman knows.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Suspicion {
+    since: Time,
+    accusers: Vec<MemberId>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Member {
+    incarnation: Incarnation,
+    state: State,
+    /// When a datagram of its own last came, of this incarnation.
+    heard: Option<Time>,
+    suspicion: Option<Suspicion>,
+}
+
+/// The probe under way.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Probe {
+    target: MemberId,
+    seq: u32,
+    sent: Time,
+    /// Members asked to look, once the answer is late.
+    asked: Option<usize>,
+    nacks: usize,
+    answered: bool,
+}
+
+/// A ping made for another.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Relay {
+    seq: u32,
+    target: MemberId,
+    asker: MemberId,
+    their_seq: u32,
+    until: Time,
+}
+
+/// One doorman's view of all.
+#[derive(Clone, Debug)]
+pub struct Gossip {
+    config: Config,
+    members: Vec<Member>,
+    leaving: bool,
+    order: Vec<MemberId>,
+    next_period: Time,
+    probe: Option<Probe>,
+    relays: Vec<Relay>,
+    seq: u32,
+    /// Updates that still go along with datagrams, with how often they did.
+    news: Vec<(Update, u32)>,
+    refreshed: usize,
+    health: u32,
+    rng: Pcg32,
+    counts: Counts,
+}
+
+impl Gossip {
+    /// A doorman that begins to look at `now`. All others are taken to be there until they do not answer.
+    pub fn new(config: Config, incarnation: Incarnation, seed: u64, now: Time) -> Self {
+        let unheard = Member { incarnation: 0, state: State::Alive, heard: None, suspicion: None };
+        let mut members = vec![unheard; usize::from(config.members)];
+        if let Some(me) = members.get_mut(usize::from(config.me)) {
+            me.incarnation = incarnation.min(message::ABSURD - 1);
+        }
+        let mut gossip = Gossip {
+            config,
+            members,
+            leaving: false,
+            order: Vec::new(),
+            next_period: now,
+            probe: None,
+            relays: Vec::new(),
+            seq: 0,
+            news: Vec::new(),
+            refreshed: 0,
+            health: 0,
+            rng: Pcg32::seed_from_u64(seed),
+            counts: Counts::default(),
+        };
+        gossip.say(config.me);
+        gossip
+    }
+
+    /// What is held of each member, by number.
+    pub fn view(&self) -> impl Iterator<Item = (MemberId, State, Incarnation)> + '_ {
+        self.members.iter().enumerate().map(|(n, m)| (n as MemberId, m.state, m.incarnation))
+    }
+
+    /// What is counted.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// Members by state: alive, suspect, dead, left.
+    pub fn by_state(&self) -> [usize; 4] {
+        let mut count = [0; 4];
+        self.members.iter().for_each(|m| count[m.state as usize] += 1);
+        count
+    }
+
+    /// When [`Gossip::tick`] is due at the latest.
+    pub fn next(&self) -> Time {
+        let late = self.probe.as_ref().filter(|p| p.asked.is_none() && !p.answered);
+        let late = late.map(|p| p.sent + self.patient(self.config.timeout));
+        let relays = self.relays.iter().map(|r| r.until);
+        let ends = (0..self.config.members).filter_map(|m| self.ends(m));
+        late.into_iter().chain(relays).chain(ends).fold(self.next_period, Time::min)
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: Time, actions: &mut Vec<Action>) {
+        if self.leaving {
+            self.next_period = Time::MAX;
+            return;
+        }
+        for at in (0..self.relays.len()).rev().filter(|&r| self.relays[r].until <= now).collect::<Vec<_>>() {
+            let relay = self.relays.remove(at);
+            self.send(relay.asker, Kind::Nack(relay.their_seq), actions);
+        }
+        self.ask_others(now, actions);
+        for member in 0..self.config.members {
+            if self.ends(member).is_some_and(|end| now >= end) {
+                self.hold(now, member, self.members[usize::from(member)].incarnation, State::Dead, actions);
+            }
+        }
+        if now >= self.next_period {
+            self.judge_probe(now, actions);
+            self.next_period = now + self.patient(self.config.period);
+            self.begin_probe(now, actions);
+        }
+    }
+
+    /// Takes a datagram from a member.
+    pub fn received(
+        &mut self,
+        now: Time,
+        from: MemberId,
+        bytes: &[u8],
+        actions: &mut Vec<Action>,
+    ) -> Result<(), Undecodable> {
+        self.counts.received += 1;
+        let (head, updates) = decode(bytes).inspect_err(|_| self.counts.undecodable += 1)?;
+        if from == self.config.me || from >= self.config.members || self.leaving {
+            return Ok(());
+        }
+        let known = self.members[usize::from(from)].incarnation;
+        if head.incarnation >= known {
+            self.hold(now, from, head.incarnation, State::Alive, actions);
+            self.members[usize::from(from)].heard = Some(now);
+        }
+        for update in updates {
+            self.update(now, from, update, actions);
+        }
+        match head.kind {
+            Kind::Ping(seq) => self.send(from, Kind::Ack(seq), actions),
+            Kind::PingReq(their_seq, target) => {
+                if target < self.config.members && target != self.config.me {
+                    let (seq, until) = (self.next_seq(), now + self.config.timeout);
+                    if self.relays.len() >= RELAYS {
+                        self.relays.remove(0);
+                    }
+                    self.relays.push(Relay { seq, target, asker: from, their_seq, until });
+                    self.send(target, Kind::Ping(seq), actions);
+                }
+            }
+            Kind::Ack(seq) => self.acked(from, seq, actions),
+            Kind::Nack(seq) => {
+                if let Some(probe) = self.probe.as_mut().filter(|p| p.seq == seq) {
+                    probe.nacks += 1;
+                }
+            }
+            Kind::News => {}
+        }
+        Ok(())
+    }
+
+    /// Says to all that this doorman leaves; afterwards it is silent.
+    pub fn leave(&mut self, now: Time, actions: &mut Vec<Action>) {
+        if self.leaving {
+            return;
+        }
+        let me = self.config.me;
+        self.members[usize::from(me)].state = State::Left;
+        self.say(me);
+        let told: Vec<MemberId> = self.others(|m| m.state <= State::Suspect);
+        told.into_iter().for_each(|to| self.send(to, Kind::News, actions));
+        self.leaving = true;
+        self.tick(now, actions);
+    }
+
+    // ---- what is held ----
+
+    /// A word on a member. Its own word on itself came with the head; others are believed by the order of states.
+    fn update(&mut self, now: Time, from: MemberId, update: Update, actions: &mut Vec<Action>) {
+        let Update { member, incarnation, state, accuser } = update;
+        if member >= self.config.members {
+            return;
+        }
+        if member == self.config.me {
+            return self.deny(incarnation, state);
+        }
+        let held = &self.members[usize::from(member)];
+        // Danger: whoever hears a member itself must not hold it to be dead on the word of one that does not. The
+        // member is told that it is suspected, and denies it.
+        let least = self.least();
+        let heard = member != from && held.heard.is_some_and(|t| now.saturating_sub(t) < least);
+        let believed = if state == State::Dead && heard { State::Suspect } else { state };
+        if believed == State::Suspect {
+            let accuser = if state == State::Dead { from } else { accuser };
+            return self.suspect(now, member, incarnation, accuser, actions);
+        }
+        self.hold(now, member, incarnation, believed, actions);
+    }
+
+    /// Moves what is held of a member up, if this is later.
+    fn hold(
+        &mut self,
+        now: Time,
+        member: MemberId,
+        incarnation: Incarnation,
+        state: State,
+        actions: &mut Vec<Action>,
+    ) {
+        let held = &mut self.members[usize::from(member)];
+        if (incarnation, state) <= (held.incarnation, held.state) {
+            return;
+        }
+        let was = held.state;
+        if incarnation > held.incarnation {
+            held.heard = None;
+        }
+        (held.incarnation, held.state) = (incarnation, state);
+        held.suspicion = None;
+        self.counts.refuted += u64::from(was == State::Suspect && state == State::Alive);
+        self.counts.suspected += u64::from(state == State::Suspect);
+        self.counts.died += u64::from(state == State::Dead);
+        if state == State::Suspect {
+            held.suspicion = Some(Suspicion { since: now, accusers: Vec::new() });
+        }
+        self.say(member);
+        actions.push(Action::Changed { member, state, incarnation });
+    }
+
+    fn suspect(
+        &mut self,
+        now: Time,
+        member: MemberId,
+        incarnation: Incarnation,
+        accuser: MemberId,
+        actions: &mut Vec<Action>,
+    ) {
+        self.hold(now, member, incarnation, State::Suspect, actions);
+        let most = self.config.confirmations + 1;
+        let held = &mut self.members[usize::from(member)];
+        let same = (held.incarnation, held.state) == (incarnation, State::Suspect);
+        let Some(suspicion) = held.suspicion.as_mut().filter(|_| same) else { return };
+        if suspicion.accusers.len() < most && !suspicion.accusers.contains(&accuser) && accuser != member {
+            suspicion.accusers.push(accuser);
+            // Each accuser is news: those who hear of several wait less.
+            self.news.retain(|n| n.0.member != member);
+            let update = Update { member, incarnation, state: State::Suspect, accuser };
+            self.news.push((update, 0));
+        }
+    }
+
+    /// What is said of this doorman itself: it is here, in an incarnation above all that is said.
+    fn deny(&mut self, incarnation: Incarnation, state: State) {
+        let me = &mut self.members[usize::from(self.config.me)];
+        let accused = state != State::Alive && incarnation >= me.incarnation;
+        if accused || incarnation > me.incarnation {
+            me.incarnation = (incarnation + 1).min(message::ABSURD - 1);
+            // Who is often held to be silent may be deaf itself.
+            self.ail(u32::from(state == State::Suspect));
+            self.say(self.config.me);
+        }
+    }
+
+    /// When a suspicion of a member ends with its death here.
+    fn ends(&self, member: MemberId) -> Option<Time> {
+        let held = &self.members[usize::from(member)];
+        let suspicion = held.suspicion.as_ref()?;
+        let (least, most) = (self.least(), self.least() as f64 * self.config.unconfirmed);
+        // The first accuser begins the suspicion, those after it confirm it.
+        let confirmed = suspicion.accusers.len().saturating_sub(1) as f64;
+        let part =
+            (confirmed + 1.0).ln() / (self.config.confirmations as f64 + 1.0).ln().max(f64::MIN_POSITIVE);
+        let lasts = (most - (most - least as f64) * part.min(1.0)) as Time;
+        // Danger: one that is heard is not dead, whoever suspects it.
+        let heard = held.heard.map_or(0, |t| t + least);
+        Some((suspicion.since + self.patient(lasts)).max(heard))
+    }
+
+    /// The shortest suspicion.
+    fn least(&self) -> Time {
+        let many = f64::from(self.config.members).log10().max(1.0);
+        (self.config.period as f64 * self.config.suspicion * many) as Time
+    }
+
+    // ---- probes ----
+
+    fn begin_probe(&mut self, now: Time, actions: &mut Vec<Action>) {
+        // Those that are gone may be back, or were cut off: one of them is asked in each period too.
+        let gone = self.others(|m| m.state == State::Dead);
+        if let Some(&back) = gone.get(self.rng.random_range(0..gone.len().max(1))) {
+            let seq = self.next_seq();
+            self.send(back, Kind::Ping(seq), actions);
+        }
+        let lives = |g: &Self, m: MemberId| g.members[usize::from(m)].state <= State::Suspect;
+        let target = loop {
+            match self.order.pop() {
+                Some(member) if lives(self, member) => break Some(member),
+                Some(_) => {}
+                None => {
+                    self.order = self.others(|m| m.state <= State::Suspect);
+                    self.order.shuffle(&mut self.rng);
+                    if self.order.is_empty() {
+                        break None;
+                    }
+                }
+            }
+        };
+        self.probe = target.map(|target| {
+            let seq = self.next_seq();
+            self.send(target, Kind::Ping(seq), actions);
+            Probe { target, seq, sent: now, asked: None, nacks: 0, answered: false }
+        });
+    }
+
+    /// An answer is late: others are asked to look.
+    fn ask_others(&mut self, now: Time, actions: &mut Vec<Action>) {
+        let timeout = self.patient(self.config.timeout);
+        let Some(probe) = self.probe.as_ref().filter(|p| !p.answered && p.asked.is_none()) else { return };
+        if now < probe.sent + timeout {
+            return;
+        }
+        let (target, seq) = (probe.target, probe.seq);
+        let mut helpers = self.others(|m| m.state == State::Alive);
+        helpers.retain(|&h| h != target);
+        helpers.shuffle(&mut self.rng);
+        helpers.truncate(self.config.indirect);
+        helpers.iter().for_each(|&to| self.send(to, Kind::PingReq(seq, target), actions));
+        // Another try of its own goes along: one datagram lost is no silence.
+        self.send(target, Kind::Ping(seq), actions);
+        if let Some(probe) = &mut self.probe {
+            probe.asked = Some(helpers.len());
+        }
+    }
+
+    /// At the end of its period: who has not answered is suspected.
+    fn judge_probe(&mut self, now: Time, actions: &mut Vec<Action>) {
+        let Some(probe) = self.probe.take() else { return };
+        if probe.answered {
+            self.health = self.health.saturating_sub(1);
+            return;
+        }
+        // Helpers that say nothing at all show that this doorman is the one that does not hear.
+        let missed = probe.asked.unwrap_or(0).saturating_sub(probe.nacks);
+        self.ail(missed as u32);
+        let incarnation = self.members[usize::from(probe.target)].incarnation;
+        self.suspect(now, probe.target, incarnation, self.config.me, actions);
+    }
+
+    fn acked(&mut self, from: MemberId, seq: u32, actions: &mut Vec<Action>) {
+        if let Some(probe) = self.probe.as_mut().filter(|p| p.seq == seq) {
+            probe.answered = true;
+        } else if let Some(at) = self.relays.iter().position(|r| r.seq == seq && r.target == from) {
+            let relay = self.relays.remove(at);
+            self.send(relay.asker, Kind::Ack(relay.their_seq), actions);
+        }
+    }
+
+    // ---- datagrams ----
+
+    fn next_seq(&mut self) -> u32 {
+        self.seq = self.seq.wrapping_add(1);
+        self.seq
+    }
+
+    fn ail(&mut self, steps: u32) {
+        self.health = (self.health + steps).min(HEALTH_STEPS);
+    }
+
+    /// A span as long as local health asks for.
+    fn patient(&self, span: Time) -> Time {
+        span + span * Time::from(self.health) / 2
+    }
+
+    fn others(&self, fits: impl Fn(&Member) -> bool) -> Vec<MemberId> {
+        let me = self.config.me;
+        (0..self.config.members).filter(|&m| m != me && fits(&self.members[usize::from(m)])).collect()
+    }
+
+    fn entry(&self, member: MemberId) -> Update {
+        let held = &self.members[usize::from(member)];
+        let accuser = held.suspicion.as_ref().and_then(|s| s.accusers.last()).copied();
+        let (incarnation, state) = (held.incarnation, held.state);
+        Update { member, incarnation, state, accuser: accuser.unwrap_or(self.config.me) }
+    }
+
+    /// What is held of a member is news.
+    fn say(&mut self, member: MemberId) {
+        self.news.retain(|n| n.0.member != member);
+        self.news.push((self.entry(member), 0));
+    }
+
+    /// Sends a datagram: first what is held of the receiver where it should know, then news, the least told first,
+    /// then some of the view in turn.
+    fn send(&mut self, to: MemberId, kind: Kind, actions: &mut Vec<Action>) {
+        let mut updates = Vec::new();
+        let theirs = self.entry(to);
+        // Also where it is held to be alive: it may have come back with an earlier incarnation than it had.
+        if theirs.incarnation > 0 || theirs.state != State::Alive {
+            updates.push(theirs);
+        }
+        let first = updates.len();
+        self.news.sort_by_key(|n| n.1);
+        updates.extend(self.news.iter().map(|n| n.0).filter(|u| u.member != to));
+        let told: Vec<MemberId> = updates[first..].iter().map(|u| u.member).collect();
+        for _ in 0..REFRESH.min(self.members.len()) {
+            self.refreshed = (self.refreshed + 1) % self.members.len();
+            let entry = self.entry(self.refreshed as MemberId);
+            if entry.incarnation > 0 && entry.member != to && !told.contains(&entry.member) {
+                updates.push(entry);
+            }
+        }
+        let incarnation = self.members[usize::from(self.config.me)].incarnation;
+        let (bytes, count) = encode(&Head { incarnation, kind }, updates);
+        let told = &told[..count.saturating_sub(first).min(told.len())];
+        let most = (self.config.spread * f64::from(self.config.members + 1).log2()).ceil() as u32;
+        self.news.iter_mut().filter(|n| told.contains(&n.0.member)).for_each(|n| n.1 += 1);
+        self.news.retain(|n| n.1 < most);
+        self.counts.sent += 1;
+        actions.push(Action::Send { to, bytes });
+    }
+}
--- /dev/null
+++ b/src/gossip/tests.rs
@@ -0,0 +1,237 @@
+use super::message::*;
+use super::*;
+use proptest::prelude::*;
+use std::collections::HashSet;
+
+const S: Time = 1_000_000;
+
+fn updates() -> impl Strategy<Value = Vec<Update>> {
+    let state = prop_oneof![Just(State::Alive), Just(State::Suspect), Just(State::Dead), Just(State::Left)];
+    let update = (0u16..400, 0u64..ABSURD, state, any::<u16>());
+    let update = update.prop_map(|(member, incarnation, state, accuser)| Update {
+        member,
+        incarnation,
+        state,
+        accuser,
+    });
+    prop::collection::vec(update, 0..60)
+}
+
+proptest! {
+    #![proptest_config(crate::net::testing::config())]
+
+    /// What is written fits, and is read as it was, up to where it had to end.
+    #[test]
+    fn datagrams_fit_and_come_back(list in updates(), incarnation in 0..ABSURD, seq: u32, target: u16) {
+        for kind in [Kind::Ping(seq), Kind::PingReq(seq, target), Kind::Ack(seq), Kind::Nack(seq), Kind::News] {
+            let head = Head { incarnation, kind };
+            let (bytes, count) = encode(&head, list.iter().copied());
+            prop_assert!(bytes.len() <= LARGEST && count >= list.len().min(10));
+            prop_assert_eq!(decode(&bytes), Ok((head, list[..count].to_vec())));
+        }
+    }
+
+    /// Any bytes, and any spoilt datagram, are read or refused, and change no more than what they say.
+    #[test]
+    fn nothing_that_comes_panics(bytes in prop::collection::vec(any::<u8>(), 0..300), list in updates(), at: usize, to: u8) {
+        let mut g = Gossip::new(Config::of(0, 5), 7, 1, S);
+        let (mut spoilt, _) = encode(&Head { incarnation: 9, kind: Kind::Ping(1) }, list);
+        let at = at % spoilt.len();
+        spoilt[at] = to;
+        let cut = spoilt[..at].to_vec();
+        for bytes in [bytes, spoilt, cut] {
+            let mut actions = Vec::new();
+            let taken = g.received(2 * S, 3, &bytes, &mut actions).is_ok();
+            prop_assert_eq!(taken, decode(&bytes).is_ok());
+            prop_assert!(taken || actions.is_empty());
+        }
+        g.tick(3 * S, &mut Vec::new());
+        prop_assert_eq!(g.members[0].state, State::Alive);
+        prop_assert_eq!(g.counts.received, 3);
+        prop_assert!(g.members.len() == 5 && g.news.len() <= 5 && g.relays.len() <= RELAYS);
+    }
+
+    /// Views that have heard the same of others agree, whatever the order, and however often it came.
+    #[test]
+    fn the_order_of_news_does_not_matter(list in updates(), swaps in prop::collection::vec((0usize..60, 0usize..60), 0..40)) {
+        let hear = |list: &[Update]| {
+            let mut g = Gossip::new(Config::of(0, 400), 7, 1, S);
+            list.iter().for_each(|&u| g.update(2 * S, 1, u, &mut Vec::new()));
+            g.view().skip(1).collect::<Vec<_>>()
+        };
+        let (mut other, before) = (list.clone(), hear(&list));
+        for (a, b) in swaps.into_iter().filter(|s| s.0.max(s.1) < list.len()) {
+            other.swap(a, b);
+        }
+        other.extend(list.iter().take(5));
+        prop_assert_eq!(hear(&other), before);
+    }
+}
+
+#[test]
+fn a_claim_out_of_range_and_another_version_are_refused() {
+    let head = Head { incarnation: 1, kind: Kind::News };
+    let claim = Update { member: 0, incarnation: ABSURD, state: State::Dead, accuser: 1 };
+    assert_eq!(decode(&encode(&head, [claim]).0), Err(Undecodable::Figure));
+    let (mut bytes, _) = encode(&head, []);
+    bytes[0] = VERSION + 1;
+    assert_eq!(decode(&bytes), Err(Undecodable::Version));
+    assert_eq!(decode(&[VERSION; LARGEST + 1]), Err(Undecodable::Length));
+}
+
+// ---- every order of a few datagrams ----
+
+/// Three doormans and what is under way between them.
+#[derive(Clone, Debug)]
+struct World {
+    now: Time,
+    members: Vec<Gossip>,
+    on_way: Vec<(MemberId, MemberId, Vec<u8>)>,
+    /// When each last heard each other itself.
+    heard: [[Option<Time>; 3]; 3],
+}
+
+/// Datagrams under way at a time; beyond, the newest is lost.
+const ON_WAY: usize = 4;
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let member = |n: MemberId| Gossip::new(Config::of(n, 3), 10 + u64::from(n), seed + u64::from(n), S);
+        World { now: S, members: (0..3).map(member).collect(), on_way: Vec::new(), heard: [[None; 3]; 3] }
+    }
+
+    /// Takes over what somebody does; breaks off where one that is heard is held to be dead.
+    fn did(&mut self, by: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send { to, bytes } if self.on_way.len() < ON_WAY => {
+                    self.on_way.push((by as MemberId, to, bytes));
+                }
+                Action::Send { .. } => {}
+                Action::Changed { member, state, .. } => {
+                    let heard = self.heard[by][usize::from(member)];
+                    let lately = heard.is_some_and(|t| self.now - t < self.members[by].least());
+                    assert!(state != State::Dead || !lately, "{by} hears {member}, and holds it to be dead");
+                }
+            }
+        }
+    }
+
+    fn deliver(&mut self, at: usize) {
+        let (from, to, bytes) = self.on_way.remove(at);
+        let mut actions = Vec::new();
+        self.now += 1_000;
+        let (now, to) = (self.now, usize::from(to));
+        self.heard[to][usize::from(from)] = Some(now);
+        self.members[to].received(now, from, &bytes, &mut actions).unwrap();
+        self.did(to, actions);
+    }
+
+    fn tick(&mut self) {
+        let who = (0..3).min_by_key(|&n| self.members[n].next()).unwrap();
+        self.now = self.now.max(self.members[who].next());
+        let mut actions = Vec::new();
+        self.members[who].tick(self.now, &mut actions);
+        self.did(who, actions);
+    }
+
+    fn agrees(&self) -> bool {
+        self.members.iter().all(|g| g.view().all(|(_, state, _)| state == State::Alive))
+    }
+
+    /// Nothing is lost any more: all datagrams come before anybody's time goes on.
+    fn settles(mut self) -> bool {
+        let until = self.now + 6 * S;
+        while self.now < until {
+            while !self.on_way.is_empty() {
+                self.deliver(0);
+            }
+            self.tick();
+        }
+        self.agrees()
+    }
+}
+
+/// Every order in which up to four datagrams between three members come or are lost, with time going on in between,
+/// from states in which members are well, suspected, or held to be dead: who is heard is not held to be dead, and
+/// once nothing is lost the views agree. (Deliveries that lead to the same state are followed once.)
+#[test]
+fn in_every_order_who_is_heard_lives_and_views_agree_in_the_end() {
+    let (mut seen, mut leaves) = (HashSet::new(), 0);
+    for (seed, lost_for) in [(1, 0), (2, 700_000), (3, 1_500_000), (4, 5_000_000)] {
+        let mut world = World::new(seed);
+        // Everything of and to the last member is lost for a while.
+        while world.now < S + lost_for {
+            world.tick();
+            world.on_way.retain(|m| m.0 != 2 && m.1 != 2);
+            while !world.on_way.is_empty() {
+                world.deliver(0);
+                world.on_way.retain(|m| m.0 != 2 && m.1 != 2);
+            }
+        }
+        world.tick();
+        let mut stack = vec![(world, 6)];
+        while let Some((world, depth)) = stack.pop() {
+            if !seen.insert((format!("{:?} {:?} {:?}", world.members, world.on_way, world.heard), depth)) {
+                continue;
+            }
+            if depth == 0 {
+                leaves += 1;
+                assert!(leaves % 7 != 0 || world.clone().settles(), "{world:?}");
+                continue;
+            }
+            for at in 0..world.on_way.len() {
+                let mut comes = world.clone();
+                comes.deliver(at);
+                stack.push((comes, depth - 1));
+                let mut lost = world.clone();
+                lost.on_way.remove(at);
+                stack.push((lost, depth - 1));
+            }
+            let mut goes_on = world;
+            goes_on.tick();
+            stack.push((goes_on, depth - 1));
+        }
+    }
+    assert!(leaves > 5_000, "{leaves}");
+}
+
+#[test]
+fn hearing_one_that_others_hold_to_be_dead_keeps_it_alive_here_and_it_is_told() {
+    let mut g = Gossip::new(Config::of(0, 3), 10, 1, S);
+    let ping = encode(&Head { incarnation: 5, kind: Kind::Ping(1) }, []).0;
+    let dead = Update { member: 2, incarnation: 5, state: State::Dead, accuser: 1 };
+    let news = encode(&Head { incarnation: 6, kind: Kind::News }, [dead]).0;
+    let mut actions = Vec::new();
+    g.received(S, 2, &ping, &mut actions).unwrap();
+    g.received(S + 1, 1, &news, &mut actions).unwrap();
+    assert_eq!(g.members[2].state, State::Suspect, "heard a moment ago");
+    actions.clear();
+    g.received(S + 2, 2, &ping, &mut actions).unwrap();
+    let Some(Action::Send { to: 2, bytes }) = actions.pop() else { panic!("{actions:?}") };
+    let told = decode(&bytes).unwrap().1;
+    assert!(
+        told.iter().any(|u| u.member == 2 && u.state == State::Suspect),
+        "so that it can deny it: {told:?}"
+    );
+    g.received(3 * S, 1, &news, &mut actions).unwrap();
+    assert_eq!(g.members[2].state, State::Dead, "not heard for a while");
+}
+
+#[test]
+fn a_suspicion_does_not_end_in_death_while_the_member_is_heard_and_does_once_it_is_not() {
+    let mut g = Gossip::new(Config::of(0, 3), 10, 1, S);
+    let ping = encode(&Head { incarnation: 5, kind: Kind::Ping(1) }, []).0;
+    let accused = Update { member: 2, incarnation: 5, state: State::Suspect, accuser: 1 };
+    let news = encode(&Head { incarnation: 6, kind: Kind::News }, [accused]).0;
+    let mut actions = Vec::new();
+    g.received(S, 1, &news, &mut actions).unwrap();
+    for step in 1..100 {
+        // It is heard, but what it is told does not reach it: it denies nothing.
+        g.received(S + step * S / 10, 2, &ping, &mut actions).unwrap();
+        g.tick(S + step * S / 10, &mut actions);
+        assert_eq!(g.members[2].state, State::Suspect, "step {step}");
+    }
+    g.tick(11 * S + g.least(), &mut actions);
+    assert_eq!(g.members[2].state, State::Dead);
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod cli;
 pub mod copies;
+pub mod gossip;
 pub mod handover;
 pub mod interface;
 pub mod lifecycle;
--- a/src/management/mod.rs
+++ b/src/management/mod.rs
@@ -153,6 +153,39 @@
     pub targets: usize,
     /// Those among them that the module avoids.
     pub avoided: usize,
+    /// What this doorman sees of the others, where they talk to each other.
+    pub peers: Option<PeerFigures>,
+}
+
+/// What a doorman sees of the others of its fleet.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PeerFigures {
+    /// Members alive, suspect, dead, left; this doorman among them.
+    pub by_state: [usize; 4],
+    /// What the view counts.
+    pub counts: crate::gossip::Counts,
+    /// Datagrams that found no room or could not be sent.
+    pub dropped: u64,
+    /// Datagrams from addresses that are nobody's.
+    pub strangers: u64,
+}
+
+impl PeerFigures {
+    fn lines(&self) -> [(&'static str, u64); 10] {
+        let [alive, suspect, dead, left] = self.by_state.map(|n| n as u64);
+        [
+            ("peers{state=\"alive\"}", alive),
+            ("peers{state=\"suspect\"}", suspect),
+            ("peers{state=\"dead\"}", dead),
+            ("peers{state=\"left\"}", left),
+            ("peer_suspicions_total", self.counts.suspected),
+            ("peer_refutations_total", self.counts.refuted),
+            ("peer_datagrams_total{way=\"out\"}", self.counts.sent),
+            ("peer_datagrams_total{way=\"in\"}", self.counts.received),
+            ("peer_datagrams_dropped_total", self.dropped + self.strangers),
+            ("peer_datagrams_undecodable_total", self.counts.undecodable),
+        ]
+    }
 }
 
 impl Figures {
@@ -202,6 +235,9 @@
         line("targets_disabled", "", gauges.avoided as u64);
         line("reload_success_total", "", self.reloads[0]);
         line("reload_failure_total", "", self.reloads[1]);
+        for (name, value) in gauges.peers.iter().flat_map(PeerFigures::lines) {
+            line(name, "", value);
+        }
         text.push_str("end\n");
         text
     }
--- a/src/management/tests.rs
+++ b/src/management/tests.rs
@@ -48,7 +48,7 @@
     figures.took();
     assert_eq!(figures.class("images"), plain);
     assert_ne!(odd, plain);
-    let text = figures.render(Gauges { targets: 7, avoided: 2 });
+    let text = figures.render(Gauges { targets: 7, avoided: 2, peers: None });
     let want = "proxy_replies_total{type=\"a\\\"b\\\\c\\nd\",status=\"success\"} 0\n\
         proxy_replies_total{type=\"a\\\"b\\\\c\\nd\",status=\"overload\"} 0\n\
         proxy_replies_total{type=\"a\\\"b\\\\c\\nd\",status=\"error\"} 0\n\
--- a/src/net/clock.rs
+++ b/src/net/clock.rs
@@ -31,6 +31,11 @@
         self.start -= std::time::Duration::from_micros(span);
     }
 
+    /// The Unix millisecond of a moment.
+    pub fn unix_ms(&self, at: Time) -> u64 {
+        (at + self.unix_at_start).saturating_sub(AT_START) / 1000
+    }
+
     /// The moment of a Unix millisecond; 0, which means long ago, for 0 and for what is too long ago to tell.
     pub fn of_unix_ms(&self, ms: u64) -> Time {
         ms.saturating_mul(1000).saturating_add(AT_START).saturating_sub(self.unix_at_start)
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -33,12 +33,30 @@
     pub known: Vec<Command>,
     /// Bytes a second of one transfer of a copy of its own, and of all of them together; 0: it serves none.
     pub own_link: (f64, f64),
+    /// The other doormans, where they may talk to each other.
+    pub peering: Option<Peering>,
     /// The settings.
     pub settings: Document,
     /// Every key that the file has.
     pub keys: BTreeSet<String>,
 }
 
+/// How a doorman reaches the others of its tier.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Peering {
+    /// Its own number.
+    pub me: u16,
+    /// Where its datagrams come in.
+    pub listen: SocketAddr,
+    /// The address of each by number; what comes from one has it as its sender's.
+    pub members: Vec<SocketAddr>,
+    /// Datagrams that it may send a second.
+    pub datagrams_per_s: u32,
+}
+
+/// Most doormans of a tier that may know each other.
+const MOST_PEERS: usize = 4096;
+
 /// Why a configuration can't be used, in one line.
 #[derive(Debug)]
 pub enum ConfigError {
@@ -97,6 +115,10 @@
     link_bytes_per_s: f64,
     #[serde(default)]
     known: Known,
+    #[serde(default)]
+    peer_listen: String,
+    #[serde(default)]
+    peers: Vec<String>,
     settings: Document,
 }
 
@@ -218,12 +240,34 @@
             cursor: file.known.cursor,
             known,
             own_link,
+            peering: peering(file.peer_listen, file.peers, &settings)?,
             settings,
             keys,
         })
     }
 }
 
+/// Who the other doormans are; `None`: there are none, or the settings do not let them talk.
+fn peering(listen: String, peers: Vec<String>, settings: &Document) -> Result<Option<Peering>, ConfigError> {
+    if peers.len() < 2 || listen.is_empty() || !settings.limits.may_tell {
+        return Ok(None);
+    }
+    let (me, many) = (settings.slot_no, peers.len());
+    if many > MOST_PEERS {
+        return Err(ConfigError::Value("peers", format!("{many} entries ({MOST_PEERS} at most)")));
+    }
+    if me >= many {
+        return Err(ConfigError::Value("settings.slot-no", format!("{me} (there are {many} peers)")));
+    }
+    let members: Vec<SocketAddr> =
+        peers.into_iter().map(|p| address("peers", p)).collect::<Result<_, _>>()?;
+    if let Some(twice) = members.iter().enumerate().find(|(n, m)| members[..*n].contains(m)) {
+        return Err(ConfigError::Value("peers", format!("{} (there twice)", twice.1)));
+    }
+    let datagrams_per_s = settings.limits.peer_datagrams_per_s.unwrap_or(settings::PEER_DATAGRAMS);
+    Ok(Some(Peering { me: me as u16, listen: address("peer_listen", listen)?, members, datagrams_per_s }))
+}
+
 fn address(what: &'static str, text: String) -> Result<SocketAddr, ConfigError> {
     text.parse().map_err(|_| ConfigError::Value(what, text))
 }
--- a/src/net/doorman.rs
+++ b/src/net/doorman.rs
@@ -9,6 +9,7 @@
 mod lifecycle;
 mod management;
 mod news;
+mod peers;
 #[cfg(test)]
 mod tests;
 mod upkeep;
@@ -118,6 +119,8 @@
     Accept,
     /// The registry's driver wanted a turn at this moment.
     Registry(Time),
+    /// The view of the fleet wanted one.
+    Peers(Time),
     DrainEnd,
 }
 
@@ -249,6 +252,7 @@
     /// What operators are told has been counted.
     counts: Counts,
     door: Option<Door>,
+    peers: Option<Box<peers::Peers>>,
     handover: Option<Handover>,
     /// All that the module has heard.
     #[cfg(test)]
@@ -317,6 +321,7 @@
             figures: Figures::default(),
             counts: Counts::default(),
             door: None,
+            peers: None,
             handover,
             #[cfg(test)]
             told: Vec::new(),
@@ -330,6 +335,7 @@
         }
         doorman.follow_limits();
         doorman.inherit();
+        doorman.meet_peers(config.peering, config.seed);
         if let Some((path, product)) = product {
             doorman.product_path = Some(path);
             if let Some(registry) = product.registry {
@@ -421,7 +427,7 @@
                 registry.ready(event);
             }
             self.tend_registry();
-        } else {
+        } else if !self.peers_ready(event.token) {
             self.link_ready(event);
         }
         self.settle();
@@ -455,6 +461,7 @@
                 }
                 self.tend_registry();
             }
+            Due::Peers(at) => self.peers_due(at),
             Due::DrainEnd => self.end_drain(),
         }
     }
--- a/src/net/doorman/lifecycle.rs
+++ b/src/net/doorman/lifecycle.rs
@@ -15,6 +15,9 @@
         if self.life.takes_clients() {
             self.take_over();
         }
+        if self.life.phase() == Phase::Replaced {
+            self.hand_peers_over();
+        }
         if self.life.accepts() && !accepted {
             self.accept();
         }
@@ -39,6 +42,7 @@
 
     pub(super) fn terminate(&mut self) {
         info!(self.log, "told to end, draining"; "open" => self.requests.len());
+        self.leave_peers();
         let longest = self.classes.longest();
         let _ = self.live(Life::Terminate { longest });
         if let Some(at) = self.life.last_answers() {
--- a/src/net/doorman/management.rs
+++ b/src/net/doorman/management.rs
@@ -180,6 +180,10 @@
 
     fn gauges(&self) -> Gauges {
         let listed = self.membership.counts();
-        Gauges { targets: listed.ready + listed.draining + listed.shadowed, avoided: self.router.avoided() }
+        Gauges {
+            targets: listed.ready + listed.draining + listed.shadowed,
+            avoided: self.router.avoided(),
+            peers: self.peers.as_ref().map(|p| p.figures()),
+        }
     }
 }
--- /dev/null
+++ b/src/net/doorman/peers.rs
@@ -0,0 +1,197 @@
+//! Datagrams between doormans: their bytes to the view (`crate::gossip`) and its datagrams out, within a budget.
+//!
+//! Whose a datagram is its sender's address tells; one from anywhere else is counted and dropped. Nothing waits for a
+//! datagram, and none is ever repeated here.
+
+use super::*;
+use crate::gossip::{message::LARGEST, Action, Config as Ways, Gossip, Incarnation, MemberId, State as Held};
+use crate::management::PeerFigures;
+use crate::net::config::Peering;
+use mio::net::UdpSocket;
+
+/// Datagrams that wait to be sent; beyond, the oldest goes: it says least.
+const QUEUE: usize = 64;
+/// Datagrams taken in one turn.
+const TAKEN: usize = 128;
+/// Part of a second for which the budget may be saved up.
+const SAVED_S: f64 = 0.25;
+
+/// This doorman's end of what doormans tell each other.
+pub(super) struct Peers {
+    peering: Peering,
+    socket: Option<(Token, UdpSocket)>,
+    gossip: Gossip,
+    queue: VecDeque<(MemberId, Vec<u8>)>,
+    /// Datagrams that may be sent a second, those saved up, and when they were counted.
+    budget: (f64, f64, Time),
+    due: Option<Time>,
+    dropped: u64,
+    strangers: u64,
+}
+
+impl Peers {
+    /// A doorman that starts now, as a life later than any before.
+    fn new(peering: Peering, incarnation: Incarnation, seed: u64, now: Time) -> Self {
+        let ways = Ways::of(peering.me, peering.members.len() as MemberId);
+        let rate = f64::from(peering.datagrams_per_s);
+        Peers {
+            socket: None,
+            gossip: Gossip::new(ways, incarnation, seed, now),
+            queue: VecDeque::new(),
+            budget: (rate, (rate * SAVED_S).max(1.0), now),
+            due: None,
+            dropped: 0,
+            strangers: 0,
+            peering,
+        }
+    }
+
+    pub(super) fn figures(&self) -> PeerFigures {
+        PeerFigures {
+            by_state: self.gossip.by_state(),
+            counts: self.gossip.counts(),
+            dropped: self.dropped,
+            strangers: self.strangers,
+        }
+    }
+
+    /// Sends what may be sent by now.
+    fn flush(&mut self, now: Time) {
+        let (rate, saved, at) = self.budget;
+        let earned = rate * now.saturating_sub(at) as f64 / 1e6;
+        let mut saved = (saved + earned).min((rate * SAVED_S).max(1.0));
+        while let (true, Some((to, bytes)), Some((_, socket))) =
+            (saved >= 1.0, self.queue.front(), &self.socket)
+        {
+            match socket.send_to(bytes, self.peering.members[usize::from(*to)]) {
+                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                // Whatever else there is, it is as good as lost on its way.
+                sent => self.dropped += u64::from(sent.is_err()),
+            }
+            saved -= 1.0;
+            self.queue.pop_front();
+        }
+        self.budget = (rate, saved, now);
+    }
+
+    fn next(&self) -> Time {
+        let (rate, saved, at) = self.budget;
+        let paid = at + ((1.0 - saved).max(0.0) / rate * 1e6) as Time + MS;
+        let waits = (!self.queue.is_empty() && self.socket.is_some()).then_some(paid);
+        self.gossip.next().min(waits.unwrap_or(Time::MAX))
+    }
+}
+
+impl Doorman {
+    /// Begins to talk to the other doormans, where the settings allow it.
+    pub(super) fn meet_peers(&mut self, peering: Option<Peering>, seed: u64) {
+        let Some(peering) = peering else { return };
+        // Later than any life before, unless the clock was set back: then the others tell, and it goes above.
+        let incarnation = self.clock.unix_ms(self.now) << 8 | seed & 0xff;
+        info!(self.log, "talks to other doormans"; "me" => peering.me, "members" => peering.members.len(),
+              "incarnation" => incarnation, "datagrams_per_s" => peering.datagrams_per_s);
+        self.peers = Some(Box::new(Peers::new(peering, incarnation, seed, self.now)));
+        self.tend_peers();
+    }
+
+    /// Listens if it does not yet: the process before it may have had the address until now.
+    pub(super) fn tend_peers(&mut self) {
+        let Some(peers) = self.peers.as_mut() else { return };
+        if peers.socket.is_none() && self.life.phase() != crate::lifecycle::Phase::Replaced {
+            let both = Interest::READABLE | Interest::WRITABLE;
+            let bound = UdpSocket::bind(peers.peering.listen)
+                .and_then(|mut socket| Ok((self.event_loop.add(&mut socket, both)?, socket)));
+            match bound {
+                Ok(socket) => peers.socket = Some(socket),
+                Err(e) => debug!(self.log, "no socket for other doormans yet"; "error" => %e),
+            }
+        }
+        self.peers_turn(|_, _, _| {});
+    }
+
+    pub(super) fn peers_due(&mut self, at: Time) {
+        if let Some(peers) = self.peers.as_mut().filter(|p| p.due == Some(at)) {
+            // An earlier one may have been set since.
+            peers.due = None;
+            self.peers_turn(|_, _, _| {});
+        }
+    }
+
+    pub(super) fn peers_ready(&mut self, token: Token) -> bool {
+        let Some(peers) = self.peers.as_mut() else { return false };
+        if peers.socket.as_ref().is_none_or(|s| s.0 != token) {
+            return false;
+        }
+        let mut more = true;
+        self.peers_turn(|peers, now, actions| {
+            let mut bytes = [0; LARGEST + 1];
+            for _ in 0..TAKEN {
+                let Some((_, socket)) = &peers.socket else { return };
+                let (length, from) = match socket.recv_from(&mut bytes) {
+                    Ok(got) => got,
+                    Err(e) if e.kind() == ErrorKind::WouldBlock => return more = false,
+                    // The last datagram met nobody; there may be others.
+                    Err(_) => continue,
+                };
+                match peers.peering.members.iter().position(|m| *m == from) {
+                    Some(member) => {
+                        let _ = peers.gossip.received(now, member as MemberId, &bytes[..length], actions);
+                    }
+                    None => peers.strangers += 1,
+                }
+            }
+        });
+        if more {
+            self.again.push(token);
+        }
+        true
+    }
+
+    /// Says that this doorman leaves, on its way out. One that is replaced goes on in another process.
+    pub(super) fn leave_peers(&mut self) {
+        if !self.is_beside() {
+            self.peers_turn(|peers, now, actions| peers.gossip.leave(now, actions));
+        }
+    }
+
+    /// Another process of this doorman takes clients now, and what the others tell.
+    pub(super) fn hand_peers_over(&mut self) {
+        if let Some(peers) = &mut self.peers {
+            peers.socket = None;
+        }
+    }
+
+    fn peers_turn(&mut self, what: impl FnOnce(&mut Peers, Time, &mut Vec<Action>)) {
+        let Some(peers) = self.peers.as_mut() else { return };
+        let (now, mut actions) = (self.now, Vec::new());
+        what(peers, now, &mut actions);
+        if peers.socket.is_some() {
+            peers.gossip.tick(now, &mut actions);
+        }
+        for action in actions {
+            match action {
+                Action::Send { to, bytes } => {
+                    if peers.queue.len() >= QUEUE {
+                        peers.queue.pop_front();
+                        peers.dropped += 1;
+                    }
+                    peers.queue.push_back((to, bytes));
+                }
+                Action::Changed { member, state: Held::Alive, incarnation } => {
+                    debug!(self.log, "doorman seen"; "member" => member, "incarnation" => incarnation);
+                }
+                Action::Changed { member, state, incarnation } => {
+                    info!(self.log, "doorman not seen"; "member" => member, "state" => ?state, "incarnation" => incarnation);
+                }
+            }
+        }
+        peers.flush(now);
+        if peers.socket.is_some() {
+            let next = peers.next().max(now + MS);
+            if peers.due.is_none_or(|d| next < d) {
+                peers.due = Some(next);
+                self.timers.set(next, Due::Peers(next));
+            }
+        }
+    }
+}
--- a/src/net/doorman/upkeep.rs
+++ b/src/net/doorman/upkeep.rs
@@ -6,6 +6,7 @@
     pub(super) fn sweep(&mut self) {
         self.timers.set(self.now + SWEEP, Due::Sweep);
         self.tend_feed();
+        self.tend_peers();
         let kept = PURGES_KEPT.max(self.settings.domain.purge_done_us.saturating_mul(2));
         while self.purges.front().is_some_and(|p| self.now.saturating_sub(p.0) > kept) {
             self.purges.pop_front();
@@ -29,6 +30,9 @@
         info!(self.log, "figures"; "counts" => ?self.figures, "replies" => %self.counts, "clients" => self.clients.len(),
               "links" => self.pool.len(), "open" => self.requests.len(), "broken_invariants" => broken);
         (self.figures.latest_timer, self.figures.longest_turn) = (0, 0);
+        if let Some(peers) = &self.peers {
+            info!(self.log, "peers"; "figures" => ?peers.figures());
+        }
         if let Some(registry) = &self.registry {
             registry.report(self.now, &self.membership.counts());
         }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -13,6 +13,8 @@
 pub const STILL_KNOWN: Time = 30_000_000;
 /// Longest time that a class may give its requests: a day.
 const LONGEST: Time = 86_400_000_000;
+/// Datagrams a second to other doormans where the settings give none: ten times what a small fleet takes.
+pub const PEER_DATAGRAMS: u32 = 100;
 
 /// The settings object. Keys that are not known here are skipped, absent ones take their default.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq)]
@@ -34,6 +36,8 @@
     pub limits: Limits,
     /// Figures of the rules.
     pub rules: Rules,
+    /// The doorman's own number among all of its tier.
+    pub slot_no: usize,
     /// What `weight` stands for.
     pub weight_source: String,
     /// The doorman's own zone.
@@ -92,9 +96,12 @@
     pub max_attempts: u32,
     pub max_open: usize,
     pub may_cancel: bool,
+    pub may_tell: bool,
     pub multiplex: usize,
     pub retry_after: bool,
     pub max_retry_after_us: Time,
+    /// Datagrams a second that this doorman may send to others; absent: [`PEER_DATAGRAMS`].
+    pub peer_datagrams_per_s: Option<u32>,
 }
 
 /// Figures of the rules.
@@ -217,6 +224,7 @@
             ("settings.limits.max-attempts", u64::from(limits.max_attempts)),
             ("settings.limits.dial-timeout-us", limits.dial_timeout_us),
             ("settings.limits.conn-idle-us", limits.conn_idle_us),
+            ("settings.limits.peer-datagrams-per-s", limits.peer_datagrams_per_s.map_or(1, u64::from)),
         ];
         match figures.iter().find(|f| f.1 == 0) {
             Some((what, _)) => Err((what, "0 (must be above 0)".to_owned())),
@@ -426,7 +434,8 @@
         (l.multiplex, l.max_attempts, l.dial_timeout_us, l.conn_idle_us) = (1, 1, 1, 1);
         assert_eq!(good.check(), Ok(()));
         type Spoil = fn(&mut Document);
-        let spoils: [(&str, Spoil); 8] = [
+        let spoils: [(&str, Spoil); 9] = [
+            ("peer-datagrams-per-s", |d| d.limits.peer_datagrams_per_s = Some(0)),
             ("pass-on", |d| d.domain.pass_on = vec![true, false]),
             ("deadline-us", |d| d.classes[0].deadline_us = 0),
             ("deadline-us", |d| d.classes[0].deadline_us = LONGEST + 1),
