--- a/crates/standins/src/processes.rs
+++ b/crates/standins/src/processes.rs
@@ -138,13 +138,24 @@
 
     /// Starts one and waits until it listens.
     pub fn start(&mut self, number: usize) -> io::Result<()> {
+        self.running[number] = Some(self.launch(number, self.doors[number])?);
+        Ok(())
+    }
+
+    /// Starts a second process of one that runs, which takes over; gives back the first.
+    pub fn replace(&mut self, number: usize) -> io::Result<Option<Process>> {
+        let next = self.launch(number, free(9190))?;
+        Ok(self.running[number].replace(next))
+    }
+
+    fn launch(&self, number: usize, door: SocketAddr) -> io::Result<Process> {
         let own = self.folder.join(number.to_string());
         std::fs::create_dir_all(&own)?;
         let config = own.join("config.json");
         std::fs::write(&config, self.configs[number].to_string())?;
         let mut child = Command::new(&self.program)
             .env("PROXY_CONFIG", config)
-            .env("PROXY_MANAGEMENT", self.doors[number].to_string())
+            .env("PROXY_MANAGEMENT", door.to_string())
             .env("TMPDIR", &own)
             .env("LARCHDALE_LOG", "debug")
             .env("LARCHDALE_LOG_FORMAT", "json")
@@ -159,11 +170,10 @@
                 kept.lock().unwrap_or_else(|e| e.into_inner()).push(Line { at: Instant::now(), fields });
             }
         });
-        let process = Process { child, door: self.doors[number], lines };
+        let process = Process { child, door, lines };
         let listens = || (!process.logged("listening").is_empty()).then_some(());
         until(HANG, listens).ok_or_else(|| io::Error::other(format!("doorman {number} does not listen")))?;
-        self.running[number] = Some(process);
-        Ok(())
+        Ok(process)
     }
 
     /// Starts all.
--- a/src/net/doorman/peers.rs
+++ b/src/net/doorman/peers.rs
@@ -5,6 +5,7 @@
 
 use super::*;
 use crate::gossip::{message::LARGEST, Action, Config as Ways, Gossip, Incarnation, MemberId, State as Held};
+use crate::lifecycle::Phase;
 use crate::management::PeerFigures;
 use crate::net::config::Peering;
 use mio::net::UdpSocket;
@@ -97,7 +98,8 @@
     /// Listens if it does not yet: the process before it may have had the address until now.
     pub(super) fn tend_peers(&mut self) {
         let Some(peers) = self.peers.as_mut() else { return };
-        if peers.socket.is_none() && self.life.phase() != crate::lifecycle::Phase::Replaced {
+        // One that is replaced, and ends then, must not take the address back from the process after it.
+        if peers.socket.is_none() && !matches!(self.life.phase(), Phase::Replaced | Phase::Stopping) {
             let both = Interest::READABLE | Interest::WRITABLE;
             let bound = UdpSocket::bind(peers.peering.listen)
                 .and_then(|mut socket| Ok((self.event_loop.add(&mut socket, both)?, socket)));
--- a/tests/fleet_view.rs
+++ b/tests/fleet_view.rs
@@ -2,7 +2,7 @@
 #![cfg(unix)]
 
 use faultnet::{Rule, Schedule};
-use larchdale_standins::processes::{until, Processes};
+use larchdale_standins::processes::{until, Line, Process, Processes};
 use std::time::{Duration, Instant};
 
 const MANY: usize = 5;
@@ -11,13 +11,18 @@
     let program = env!("CARGO_BIN_EXE_larchdale");
     let mut fleet = Processes::new(program, name, MANY, schedule, |_, _| {}).unwrap();
     fleet.start_all().unwrap();
+    // Each begins by taking all others to be there: what counts is that it has heard of them.
+    let heard = |p: &Process, n: usize| p.logged("doorman seen").iter().any(|l| l.fields["member"] == n);
+    let all = |(me, p): (usize, &Process)| (0..MANY).all(|n| n == me || heard(p, n));
+    let running = || fleet.running.iter().flatten().enumerate().all(all).then_some(());
+    until(Duration::from_secs(20), running).expect("all have heard of all");
     fleet.see([5, 0, 0, 0], Duration::from_secs(20)).expect("all see all");
     fleet
 }
 
 /// When each that runs first held a member to be in a state, after a moment.
 fn held(fleet: &Processes, member: usize, state: &str, since: Instant) -> Vec<Duration> {
-    let first = |p: &larchdale_standins::processes::Process| {
+    let first = |p: &Process| {
         let lines = p.logged("doorman not seen");
         let of = |f: &serde_json::Value| f["member"] == member && f["state"] == state;
         lines.iter().find(|l| of(&l.fields) && l.at >= since).map(|l| l.at - since)
@@ -98,3 +103,20 @@
         p.logged("doorman not seen").iter().all(|l| l.fields["member"] != 3 || l.fields["state"] == "Left")
     }));
 }
+
+#[test]
+fn who_is_replaced_by_another_process_is_neither_gone_nor_dead() {
+    let mut fleet = fleet("replaced", &Schedule::default());
+    let mut old = fleet.replace(0).unwrap().unwrap();
+    let replaced = || (!old.logged("phase").iter().all(|l| l.fields["is"] != "Replaced")).then_some(());
+    until(Duration::from_secs(20), replaced).expect("the first hands over");
+    old.signal("-TERM").unwrap();
+    old.wait().unwrap();
+    // Its first life, and then the one of the second process.
+    let lives = |p: &Process| p.logged("doorman seen").iter().filter(|l| l.fields["member"] == 0).count();
+    let known = || fleet.running[1..].iter().flatten().all(|p| lives(p) >= 2).then_some(());
+    until(Duration::from_secs(20), known).expect("all hear of the second process");
+    fleet.see([5, 0, 0, 0], Duration::from_secs(20)).expect("all see all");
+    let gone = |l: &Line| l.fields["member"] == 0 && l.fields["state"] != "Suspect";
+    assert!(!fleet.running.iter().flatten().any(|p| p.logged("doorman not seen").iter().any(gone)));
+}
