--- a/crates/faultnet/src/main.rs
+++ b/crates/faultnet/src/main.rs
@@ -17,9 +17,9 @@
         return Err(format!("{other}: only loopback addresses are relayed"));
     }
     let relay = Relay::start(&listen, &schedule).map_err(|e| format!("can't start: {e}"))?;
-    for number in 0..listen.len() {
+    for (number, own) in listen.iter().enumerate() {
         let (peers, all) = (relay.peers(number), relay.all(number));
-        println!("{}", serde_json::json!({"peer_listen": listen[number], "peers": peers, "peers_all": all}));
+        println!("{}", serde_json::json!({"peer_listen": own, "peers": peers, "peers_all": all}));
     }
     let _ = std::io::stdin().read_to_end(&mut Vec::new());
     Ok(())
--- a/crates/standins/benches/gossip.rs
+++ b/crates/standins/benches/gossip.rs
@@ -1,8 +1,9 @@
 //! What one datagram of the fleet's view costs: taken and answered, in fleets of three sizes.
 
-use criterion::{black_box, criterion_group, criterion_main, Criterion};
+use criterion::{criterion_group, criterion_main, Criterion};
 use larchdale::gossip::message::{encode, Head, Kind, Update};
 use larchdale::gossip::{Config, Gossip, State};
+use std::hint::black_box;
 
 fn datagram(c: &mut Criterion) {
     for many in [5u16, 20, 100] {
--- a/src/management/tests.rs
+++ b/src/management/tests.rs
@@ -58,6 +58,13 @@
         proxy_dispatches_total 0\nproxy_concurrent 1\nproxy_targets 7\nproxy_targets_disabled 2\n\
         proxy_reload_success_total 0\nproxy_reload_failure_total 0\nend\n";
     assert_eq!(text, want);
+    let peers =
+        Some(PeerFigures { by_state: [3, 1, 2, 0], dropped: 4, strangers: 1, ..PeerFigures::default() });
+    let text = figures.render(Gauges { targets: 7, avoided: 2, peers });
+    let more = text.strip_prefix(want.trim_end_matches("end\n")).unwrap();
+    for line in ["peers{state=\"alive\"} 3", "peers{state=\"dead\"} 2", "peer_datagrams_dropped_total 5"] {
+        assert!(more.contains(&format!("proxy_{line}\n")) && more.ends_with("\nend\n"), "{line} in {more}");
+    }
 }
 
 proptest! {
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -137,6 +137,28 @@
         let message = refused(Some(&good.replace(from, to)), "value");
         assert!(message.contains(named), "{message}");
     }
+    // What lets doormans talk, and what a copy of their own may take.
+    let mut peering: serde_json::Value = serde_json::from_str(&good).unwrap();
+    (peering["peers"], peering["peer_listen"]) =
+        (serde_json::json!(["127.0.0.1:1", "127.0.0.1:2"]), "127.0.0.1:3".into());
+    peering["settings"]["limits"]["may-tell"] = true.into();
+    let spoilt = |at: &str, value: serde_json::Value| {
+        let mut bad = peering.clone();
+        let (place, key) = at.rsplit_once('/').unwrap();
+        bad.pointer_mut(place).unwrap()[key] = value;
+        refused(Some(&bad.to_string()), "peers")
+    };
+    for (at, value, named) in [
+        ("/peers", serde_json::json!(["127.0.0.1:1", "127.0.0.1:1"]), "peers: '127.0.0.1:1 (there twice)'"),
+        ("/peers", serde_json::json!(["127.0.0.1:1", "n1"]), "peers: 'n1'"),
+        ("/peer_listen", "here".into(), "peer_listen: 'here'"),
+        ("/settings/slot-no", 2.into(), "settings.slot-no: '2 (there are 2 peers)'"),
+        ("/settings/limits/peer-datagrams-per-s", 0.into(), "peer-datagrams-per-s: '0"),
+        ("/link_bytes_per_s", (-1).into(), "link_bytes_per_s: '-1 (0 or above)'"),
+    ] {
+        let message = spoilt(at, value);
+        assert!(message.contains(named), "{message}");
+    }
 }
 
 #[test]
