--- a/crates/standins/src/bin/measure-view.rs
+++ b/crates/standins/src/bin/measure-view.rs
@@ -26,11 +26,12 @@
     println!("{:<62} {:>8} {:>9} {:>9} {:>9}", "what", "aim", "5", "20", "100");
     let mut row = |what: &str, aim: Option<f64>, figures: [f64; 3]| {
         let told = aim.map_or("-".to_owned(), |a| format!("<= {a}"));
-        let kept = aim.is_none_or(|a| figures.iter().all(|&f| f <= a));
+        let kept = aim.is_none_or(|a| figures.iter().all(|&f| f.is_nan() || f <= a));
         missed += usize::from(!kept);
-        let [five, twenty, hundred] = figures;
+        let [five, twenty, hundred] =
+            figures.map(|f| if f.is_nan() { "-".to_owned() } else { format!("{f:.2}") });
         let mark = if kept { "" } else { "  MISSED" };
-        println!("{what:<62} {told:>8} {five:>9.2} {twenty:>9.2} {hundred:>9.2}{mark}");
+        println!("{what:<62} {told:>8} {five:>9} {twenty:>9} {hundred:>9}{mark}");
     };
     let sizes = [(5, 60), (20, 15), (100, 3)];
     let detected = sizes.map(|(many, plays)| {
@@ -47,7 +48,7 @@
     });
     // The aim is for fleets as they stand today; a suspicion lasts longer where more have to hear of it.
     let [five, twenty, _] = detected;
-    row("a member killed is dead to the others after, median, s", Some(3.0), [five.0, twenty.0, 0.0]);
+    row("a member killed is dead to the others after, median, s", Some(3.0), [five.0, twenty.0, f64::NAN]);
     row("the same, all sizes", None, detected.map(|d| d.0));
     row("the same, 99 of 100, s", None, detected.map(|d| d.1));
     // So many member-hours are played that one false death would show.
