Seam of site loss, shards and growth: settings, guidance to the module, notes

This is the seam, with nothing in use yet: `Event::Guidance` and the accounts by which the module is to keep to it (`src/guidance.rs`), what each doorman says of itself along with the view's datagrams (`src/sites/note.rs`), the settings of all three parts with their calls in the product's script (`site_plan`, `shards`, `quiet`, `blackout`, `growth`), checked whole with place and remedy.

--- /dev/null
+++ b/src/guidance.rs
@@ -0,0 +1,316 @@
+//! What the plans of the whole fleet ask of the decision module, and the accounts by which it keeps to them.
+//!
+//! The plans themselves are made in `sites` and `placement`; the module stays the one that decides which server gets
+//! a request. Without guidance nothing here costs or changes anything.
+
+use crate::interface::{Id, Time};
+use rustc_hash::FxHashMap;
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+/// Least work that one request is booked with, in microseconds of sending: an account has a bound by it.
+const LEAST_WORK: f64 = 1_000.0;
+/// Most requests that one account keeps; beyond, it has no room until the oldest have left its window.
+const MOST_BOOKED: usize = 4_096;
+
+/// The most that this doorman may send one server.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Bound {
+    /// The server; as the source of a fill it is bound too.
+    pub server: Id,
+    /// Transfers at full pace, on average over one window ([`Guidance::window`]); 0: nothing.
+    pub rate: f64,
+}
+
+/// A shard that is warmed at its next home: some of its requests go there and are filled from the present home.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Warming {
+    /// The next home.
+    pub to: Id,
+    /// Transfers at full pace that may go there for warming, by this doorman.
+    pub rate: f64,
+}
+
+/// One shard: from here in the space of objects up to where the next one begins.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Home {
+    /// Where it begins.
+    pub start: u64,
+    /// The cache that its objects go to first; `None`: the order of the hash.
+    pub home: Option<Id>,
+    /// See [`Warming`].
+    pub warming: Option<Warming>,
+}
+
+/// What the plans ask, until the next guidance. The default asks nothing.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Guidance {
+    /// Over how long the bounds are kept, in microseconds; 0 counts as a second.
+    pub window: Time,
+    /// Servers with a bound; all others have none but the module's own.
+    pub bounds: Vec<Bound>,
+    /// By class, in transfers at full pace: how many misses may be filled; `None`, or absent: as many as come.
+    pub fills: Vec<Option<f64>>,
+    /// Ageing copies are accepted as far as a class allows, and nothing is renewed behind.
+    pub pressed: bool,
+    /// How long refused clients are to stay away, in microseconds: at least, and up to so much more by chance.
+    /// (0, 0): as without guidance.
+    pub pause: (Time, Time),
+    /// Caches of other zones that this zone's requests may go to.
+    pub beyond: Vec<Id>,
+    /// The shards in order of their starts; none: the order of the hash for all.
+    pub homes: Arc<[Home]>,
+}
+
+/// Work sent over one sliding window. What was booked and did not happen is taken back.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Account {
+    booked: VecDeque<(Time, f64)>,
+    /// The latest booking, also after it has left the window.
+    last: Option<(Time, f64)>,
+}
+
+impl Account {
+    /// Whether `work` may be sent now, where `budget` may be in each window.
+    /// Danger: over hundreds of doormans each one's part of a window is less than one request, and nothing would
+    /// ever be sent. Then one request is due whenever its work has added up; the first at `first`, a moment of
+    /// this doorman's own, so that not all come at once.
+    pub fn has_room(&self, now: Time, window: Time, budget: f64, work: f64, first: Time) -> bool {
+        let work = work.max(LEAST_WORK);
+        if budget <= 0.0 || self.booked.len() >= MOST_BOOKED {
+            return false;
+        }
+        if work <= budget {
+            let since = now.saturating_sub(window);
+            let spent: f64 = self.booked.iter().filter(|b| b.0 >= since).map(|b| b.1).sum();
+            return spent + work <= budget;
+        }
+        let lasts = |work: f64| (work / budget * window as f64) as Time;
+        now >= self.last.map_or(first, |b| b.0.saturating_add(lasts(b.1.max(work))))
+    }
+
+    /// Books work that is sent now.
+    pub fn book(&mut self, now: Time, window: Time, work: f64) {
+        let since = now.saturating_sub(window);
+        while self.booked.front().is_some_and(|b| b.0 < since) {
+            self.booked.pop_front();
+        }
+        self.last = Some((now, work.max(LEAST_WORK)));
+        self.booked.extend(self.last);
+    }
+
+    /// Takes back what was booked at a moment: it did not come to its server.
+    pub fn take_back(&mut self, sent: Time) {
+        if let Some(at) = self.booked.iter().position(|b| b.0 == sent) {
+            self.booked.remove(at);
+        }
+    }
+}
+
+/// The guidance in force with its accounts.
+#[derive(Clone, Debug, Default)]
+pub struct Guide {
+    guidance: Option<Arc<Guidance>>,
+    bounds: FxHashMap<Id, (f64, Account)>,
+    fills: Vec<Account>,
+    warming: FxHashMap<Id, Account>,
+    since: Time,
+}
+
+impl Guide {
+    /// Takes new guidance. Accounts of servers that stay bound go on.
+    pub fn follow(&mut self, now: Time, new: Arc<Guidance>) {
+        let mut old = std::mem::take(&mut self.bounds);
+        let account = |b: &Bound| {
+            let booked = old.remove(&b.server).map(|o| o.1).unwrap_or_default();
+            (b.server.clone(), (b.rate, booked))
+        };
+        self.bounds = new.bounds.iter().map(account).collect();
+        self.fills.resize_with(new.fills.len(), Account::default);
+        let goes = |to: &Id| new.homes.iter().any(|h| h.warming.as_ref().is_some_and(|w| w.to == *to));
+        self.warming.retain(|to, _| goes(to));
+        self.since = now;
+        self.guidance = Some(new).filter(|g| **g != Guidance::default());
+    }
+
+    fn window(&self) -> Time {
+        self.guidance.as_ref().map(|g| g.window).filter(|&w| w > 0).unwrap_or(1_000_000)
+    }
+
+    /// Whether a server may be sent this work; `part` of a turn, 0 to 1, is this doorman's own place in it.
+    pub fn admits(&self, now: Time, server: &Id, work: f64, part: f64) -> bool {
+        let Some((rate, account)) = self.bounds.get(server) else { return true };
+        let (window, budget) = (self.window(), rate * self.window() as f64);
+        let first = self.since + (part * work / rate.max(f64::MIN_POSITIVE)).min(1e15) as Time;
+        account.has_room(now, window, budget, work, first)
+    }
+
+    /// Work goes to a server, as target or as the source of a fill.
+    pub fn sent(&mut self, now: Time, server: &Id, work: f64) {
+        let window = self.window();
+        if let Some((_, account)) = self.bounds.get_mut(server) {
+            account.book(now, window, work);
+        }
+    }
+
+    /// What was sent at a moment never came to this server: the cache before it had the copy.
+    pub fn spared(&mut self, server: &Id, sent: Time) {
+        if let Some((_, account)) = self.bounds.get_mut(server) {
+            account.take_back(sent);
+        }
+    }
+
+    /// Whether a miss of a class may be filled.
+    pub fn fills(&self, now: Time, class: usize, work: f64) -> bool {
+        let rate = self.guidance.as_ref().and_then(|g| g.fills.get(class).copied().flatten());
+        let (Some(rate), Some(account)) = (rate, self.fills.get(class)) else { return true };
+        account.has_room(now, self.window(), rate * self.window() as f64, work, self.since)
+    }
+
+    /// A request of a class goes out with a source, from which a miss would be filled.
+    pub fn filling(&mut self, now: Time, class: usize, work: f64) {
+        let window = self.window();
+        if let Some(account) = self.fills.get_mut(class) {
+            account.book(now, window, work);
+        }
+    }
+
+    /// It was a hit: nothing was filled.
+    pub fn not_filled(&mut self, class: usize, sent: Time) {
+        if let Some(account) = self.fills.get_mut(class) {
+            account.take_back(sent);
+        }
+    }
+
+    /// Whether old copies come before refusals, and nothing is renewed behind.
+    pub fn pressed(&self) -> bool {
+        self.guidance.as_ref().is_some_and(|g| g.pressed)
+    }
+
+    /// How long refused clients are to stay away, where the plans say so: at least, and more by chance.
+    pub fn pause(&self) -> Option<(Time, Time)> {
+        self.guidance.as_ref().map(|g| g.pause).filter(|&p| p != (0, 0))
+    }
+
+    /// Whether requests of this zone may go to that cache of another one.
+    pub fn beyond(&self, server: &Id) -> bool {
+        self.guidance.as_ref().is_some_and(|g| g.beyond.contains(server))
+    }
+
+    fn shard(&self, object: u64) -> Option<&Home> {
+        let homes = self.guidance.as_ref().map(|g| &g.homes).filter(|h| !h.is_empty())?;
+        let at = homes.partition_point(|h| h.start <= crate::placement::position(object));
+        homes.get(at.checked_sub(1)?)
+    }
+
+    /// The home of an object, where one is set.
+    pub fn home(&self, object: u64) -> Option<&Id> {
+        self.shard(object)?.home.as_ref()
+    }
+
+    /// Where this request of an object goes for warming, if its turn has come.
+    pub fn warms(&self, now: Time, object: u64, work: f64) -> Option<&Id> {
+        let warming = self.shard(object)?.warming.as_ref()?;
+        let (window, none) = (self.window(), Account::default());
+        let account = self.warming.get(&warming.to).unwrap_or(&none);
+        let budget = warming.rate * window as f64;
+        account.has_room(now, window, budget, work, self.since).then_some(&warming.to)
+    }
+
+    /// A request goes there for warming.
+    pub fn warmed(&mut self, now: Time, to: &Id, work: f64) {
+        let window = self.window();
+        self.warming.entry(to.clone()).or_default().book(now, window, work);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    const S: Time = 1_000_000;
+
+    fn guide(guidance: Guidance) -> Guide {
+        let mut guide = Guide::default();
+        guide.follow(S, Arc::new(guidance));
+        guide
+    }
+
+    proptest! {
+        /// For any times and sizes, no window holds more than the bound and nothing is sent unasked.
+        #[test]
+        fn no_window_holds_more_than_the_bound(
+            rate in 0.2f64..8.0,
+            sends in proptest::collection::vec((0u64..400_000, 1_000f64..190_000.0, any::<bool>()), 1..200),
+        ) {
+            let server: Id = "box".into();
+            let bound = Bound { server: server.clone(), rate };
+            let mut guide = guide(Guidance { window: S, bounds: vec![bound], ..Guidance::default() });
+            let (mut now, mut sent) = (S, Vec::new());
+            for (later, work, hit) in sends {
+                now += later + 1;
+                if guide.admits(now, &server, work, 0.0) {
+                    guide.sent(now, &server, work);
+                    if hit {
+                        guide.spared(&server, now);
+                    } else {
+                        sent.push((now, work));
+                    }
+                }
+            }
+            for (n, first) in sent.iter().enumerate() {
+                let window = sent[n..].iter().take_while(|s| s.0 - first.0 <= S);
+                let sum: f64 = window.map(|s| s.1).sum();
+                prop_assert!(sum <= rate * S as f64 + 1e-3, "{sum}");
+            }
+        }
+    }
+
+    #[test]
+    fn a_part_below_one_request_is_sent_in_turn_and_a_bound_of_nothing_never() {
+        let bounds = vec![Bound { server: "a".into(), rate: 0.01 }, Bound { server: "b".into(), rate: 0.0 }];
+        let mut guide = guide(Guidance { bounds, ..Guidance::default() });
+        let (a, b, mut sent) = (Id::from("a"), Id::from("b"), 0);
+        for now in (S..S + 100 * S).step_by(10_000) {
+            assert!(!guide.admits(now, &b, 50_000.0, 0.5));
+            if guide.admits(now, &a, 50_000.0, 0.5) {
+                guide.sent(now, &a, 50_000.0);
+                sent += 1;
+            }
+        }
+        assert!((19..=20).contains(&sent), "one in 5 s, the first after half of that: {sent}");
+    }
+
+    #[test]
+    fn objects_belong_to_the_shard_that_their_place_is_in() {
+        let home = |start, to: &str| Home { start, home: Some(to.into()), warming: None };
+        let middle = 1 << 63;
+        let guide =
+            guide(Guidance { homes: [home(0, "a"), home(middle, "b")].into(), ..Guidance::default() });
+        let (mut first, mut second) = (0, 0);
+        for object in 0..1_000 {
+            let below = crate::placement::position(object) < middle;
+            assert_eq!(guide.home(object).unwrap().as_ref(), if below { "a" } else { "b" });
+            first += usize::from(below);
+            second += usize::from(!below);
+        }
+        assert!(first > 400 && second > 400);
+        assert_eq!(Guide::default().home(7), None);
+    }
+
+    #[test]
+    fn warming_takes_its_part_and_no_more() {
+        let warming = Some(Warming { to: "b".into(), rate: 0.5 });
+        let homes = [Home { start: 0, home: Some("a".into()), warming }].into();
+        let mut guide = guide(Guidance { homes, ..Guidance::default() });
+        let mut sent = 0;
+        for now in (S..S + 10 * S).step_by(1_000) {
+            if let Some(to) = guide.warms(now, 7, 100_000.0).cloned() {
+                guide.warmed(now, &to, 100_000.0);
+                sent += 1;
+            }
+        }
+        assert!((45..=50).contains(&sent), "{sent}");
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -3,6 +3,8 @@
 
 use std::sync::Arc;
 
+pub use crate::guidance::Guidance;
+
 /// A moment on the caller's clock, or a span, in microseconds.
 pub type Time = u64;
 /// Name of a request or a server; compared and hashed, never interpreted.
@@ -280,6 +282,8 @@
     Settings(Box<Settings>),
     /// The call for the server list failed or its subscription broke.
     WatchFailed,
+    /// What the plans of the whole fleet ask from now on; the default asks nothing.
+    Guidance(Arc<Guidance>),
     /// A client asks.
     Request(Request),
     /// An attempt ended.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod cli;
 pub mod copies;
 pub mod gossip;
+pub mod growth;
+pub mod guidance;
 pub mod handover;
 pub mod interface;
 pub mod lifecycle;
@@ -17,10 +19,12 @@
 pub mod management;
 pub mod membership;
 pub mod net;
+pub mod placement;
 pub mod product;
 pub mod purges;
 pub mod registry;
 pub mod settings;
+pub mod sites;
 
 /// Compiles and runs the example of the README.
 #[cfg(doctest)]
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -4,6 +4,7 @@
 //! Aging State Information" (2015), eq. 24 with alpha 0: a request names as oldest copy accepted the fresh
 //! time plus gamma1 x i tenths of the grace. A hash of the object picks the cache, another the parent.
 
+use crate::guidance::Guide;
 use crate::interface::*;
 use std::collections::{BTreeMap, VecDeque};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -183,6 +184,7 @@
     purged: BTreeMap<(bool, u64), Time>,
     purges: VecDeque<(Time, (bool, u64))>,
     watching: bool,
+    guide: Guide,
     /// The least that any location's link has shown so far for each of its caches, in KB a second.
     least: Option<f64>,
 }
@@ -205,6 +207,7 @@
             Event::Members { complete, members } => self.members(complete, members),
             Event::Settings(settings) => self.retune(*settings),
             Event::WatchFailed => self.watching = false,
+            Event::Guidance(guidance) => self.guide.follow(self.now, guidance),
             Event::Request(request) => self.request(request, actions),
             Event::Outcome(outcome) => self.outcome(outcome, actions),
             Event::Begun { request } => {
--- a/src/product/arguments.rs
+++ b/src/product/arguments.rs
@@ -89,6 +89,18 @@
         Ok(())
     }
 
+    /// Yes or no, if it is there.
+    pub fn flag(&mut self, name: &'static str) -> Result<Option<bool>, Bad> {
+        match self.take(name) {
+            None => Ok(None),
+            Some(Value::Bool(value)) => Ok(Some(value)),
+            Some(other) => {
+                let what = format!("{name} is {}, not a bool", kind(&other));
+                Err(Bad::at(name, what, "True or False".to_owned()))
+            }
+        }
+    }
+
     /// A text that `read` can use, if it is there.
     pub fn text<T>(
         &mut self,
--- a/src/product/mod.rs
+++ b/src/product/mod.rs
@@ -4,6 +4,7 @@
 //! here against what they may be and become typed values. Nothing is taken from a script that has any error.
 
 pub mod arguments;
+mod fleet;
 pub mod script;
 #[cfg(test)]
 mod tests;
@@ -22,6 +23,14 @@
     pub registry: Option<Registry>,
     /// The form of the log's lines, where the script sets one.
     pub log: Option<LogForm>,
+    /// The loss of a whole site is planned for.
+    pub site_plan: Option<crate::sites::Settings>,
+    /// Objects are kept by shards.
+    pub shards: Option<crate::placement::Settings>,
+    /// When shards may move.
+    pub calendar: crate::placement::quiet::Calendar,
+    /// What shards newly want is counted and forecast.
+    pub growth: Option<crate::growth::Settings>,
 }
 
 /// The form of the log's lines.
@@ -149,6 +158,11 @@
     fn call(&mut self, name: &str, mut a: Arguments) -> Result<(), Bad> {
         let twice = match name {
             "registry" => self.registry.replace(Registry::of(a)?).is_some(),
+            "site_plan" => self.site_plan.replace(fleet::site_plan(a)?).is_some(),
+            "shards" => self.shards.replace(fleet::shards(a)?).is_some(),
+            "growth" => self.growth.replace(fleet::growth(a)?).is_some(),
+            "quiet" => return fleet::quiet(a, &mut self.calendar),
+            "blackout" => return fleet::blackout(a, &mut self.calendar),
             _ => {
                 let known =
                     |t: &str| LogForm::named(t).ok_or(format!("'{t}' is neither \"text\" nor \"json\""));
--- a/src/product/script.rs
+++ b/src/product/script.rs
@@ -93,6 +93,31 @@
         take("registry", kwargs)
     }
 
+    /// What is done when a whole site is lost.
+    fn site_plan<'v>(#[starlark(kwargs)] kwargs: SmallMap<String, Value<'v>>) -> anyhow::Result<NoneType> {
+        take("site_plan", kwargs)
+    }
+
+    /// Where map and moves of shards are kept, and how far they go.
+    fn shards<'v>(#[starlark(kwargs)] kwargs: SmallMap<String, Value<'v>>) -> anyhow::Result<NoneType> {
+        take("shards", kwargs)
+    }
+
+    /// A window in which a zone's shards may move.
+    fn quiet<'v>(#[starlark(kwargs)] kwargs: SmallMap<String, Value<'v>>) -> anyhow::Result<NoneType> {
+        take("quiet", kwargs)
+    }
+
+    /// A span in which nothing moves.
+    fn blackout<'v>(#[starlark(kwargs)] kwargs: SmallMap<String, Value<'v>>) -> anyhow::Result<NoneType> {
+        take("blackout", kwargs)
+    }
+
+    /// How growth is counted and forecast.
+    fn growth<'v>(#[starlark(kwargs)] kwargs: SmallMap<String, Value<'v>>) -> anyhow::Result<NoneType> {
+        take("growth", kwargs)
+    }
+
     /// How log lines are written.
     fn log<'v>(#[starlark(kwargs)] kwargs: SmallMap<String, Value<'v>>) -> anyhow::Result<NoneType> {
         take("log", kwargs)
@@ -126,7 +151,11 @@
     };
     let ran = ran();
     let calls = CALLS.take();
-    ran.map(|()| calls.product).map_err(|e| wrong(path, &e, calls.bad))
+    ran.map_err(|e| wrong(path, &e, calls.bad))?;
+    let whole =
+        |bad: Bad| ScriptError::Wrong { path: path.to_owned(), line: 0, column: 0, what: bad.to_string() };
+    super::fleet::check(&calls.product).map_err(whole)?;
+    Ok(calls.product)
 }
 
 /// Where and what: the argument where one is to blame, else the place that Starlark names.
@@ -173,5 +202,29 @@
         })
     });
     let log = product.log.map(|l| format!("{l:?}").to_lowercase());
-    serde_json::json!({ "registry": registry, "log": log })
+    let site_plan = product.site_plan.as_ref().map(|s| {
+        serde_json::json!({
+            "doubt_ms": s.doubt / 1000, "lost_ms": s.lost / 1000, "hint_ages_ms": s.hint_ages / 1000,
+            "back_ms": s.back / 1000, "longest_back_ms": s.longest_back / 1000, "settled_ms": s.settled / 1000,
+            "steps": s.steps, "headroom": s.headroom, "floor": s.floor, "demand": s.demand,
+            "beyond_branch": s.beyond,
+        })
+    });
+    let shards = product.shards.as_ref().map(|s| {
+        serde_json::json!({
+            "endpoints": s.endpoints, "prefix": s.prefix, "first": s.first, "most": s.most, "spread": s.spread,
+            "moves": s.moves, "move_mb": s.move_kb / 1000.0, "warm": s.warm, "lease_ms": s.lease / 1000,
+            "skew_ms": s.skew / 1000, "snapshot": s.snapshot,
+            "quiet": product.calendar.quiet.len(), "blackouts": product.calendar.blackouts.len(),
+        })
+    });
+    let growth = product.growth.as_ref().map(|g| {
+        serde_json::json!({
+            "bucket_ms": g.bucket / 1000, "buckets": g.buckets, "box_mb": g.box_kb / 1000.0, "split": g.split,
+            "merge": g.merge, "ahead": g.ahead, "level": g.level, "waiting": g.waiting,
+        })
+    });
+    serde_json::json!({
+        "registry": registry, "log": log, "site_plan": site_plan, "shards": shards, "growth": growth,
+    })
 }
--- a/src/product/tests.rs
+++ b/src/product/tests.rs
@@ -1,5 +1,6 @@
 use super::script::{run, ScriptError};
 use super::*;
+use crate::placement::quiet::Window;
 use std::path::Path;
 
 const GOOD: &str = r#"
@@ -56,6 +57,27 @@
         ("a = 1\nb = a + \"x\"", 2, 5, ["not supported", "int"]),
         ("registry(\n  endpoints = ]", 2, 15, ["Parse error", "]"]),
         ("regstry()", 1, 1, ["regstry", "registry"]),
+        ("site_plan(lost_ms = 500)", 1, 1, ["lost_ms (500)", "doubt_ms (1000)"]),
+        ("site_plan(beyond_branch = 1)", 1, 11, ["not a bool", "True or False"]),
+        ("shards(prefix = \"/s/\")", 1, 1, ["lacks endpoints", "hint"]),
+        ("quiet(zone = \"b\", days = [\"sat\", \"son\"])", 1, 19, ["'son' is no day", "sat, sun"]),
+        ("quiet(zone = \"b\", days = [\"sat\"], since = \"25:00\")", 1, 35, ["no time of day", "22:30"]),
+        ("quiet(zone = \"b\", tz = \"Mars/Olympus\")", 1, 19, ["no time zone", "America/Vancouver"]),
+        (
+            "quiet(zone = \"b\", days = [\"sat\"], starts = \"2026-12-24T22:00:00Z\")",
+            1,
+            1,
+            ["both", "two calls"],
+        ),
+        (
+            "blackout(starts = \"2026-12-24T22:00:00Z\", ends = \"2026-12-24T21:00:00Z\")",
+            1,
+            1,
+            ["not after", "swap"],
+        ),
+        ("blackout(starts = \"christmas\")", 1, 10, ["no moment", "offset"]),
+        ("growth(merge_percent = 20)", 1, 1, ["merge_percent (20)", "split_percent (25)"]),
+        ("growth()", 0, 0, ["growth() is set", "shards() is not"]),
     ] {
         let (at_line, at_column, what) = wrong(text);
         assert_eq!((at_line, at_column), (line, column), "{text}: {what}");
@@ -63,6 +85,27 @@
     }
 }
 
+#[test]
+fn what_the_fleet_does_as_one_is_set_by_its_calls() {
+    let text = r#"
+site_plan(lost_ms = 4000, beyond_branch = True)
+shards(endpoints = ["127.0.0.1:2379"], prefix = "/larchdale/fleet/", moves = 3)
+quiet(zone = "branch", days = ["fri", "sat"], since = "22:30", until = "05:00", tz = "America/Vancouver")
+quiet(zone = "branch", starts = "2026-12-24T22:00:00-08:00", ends = "2026-12-25T22:00:00-08:00")
+blackout(starts = "2026-12-31T00:00:00Z", ends = "2027-01-02T00:00:00Z")
+growth(box_mb = 500)
+"#;
+    let product = run(Path::new("x.star"), text.to_owned()).unwrap();
+    let sites = crate::sites::Settings { lost: 4_000_000, beyond: true, ..Default::default() };
+    assert_eq!(product.site_plan, Some(sites));
+    assert_eq!(product.shards.unwrap().moves, 3);
+    assert_eq!(product.growth.unwrap().box_kb, 500_000.0);
+    let (zone, window) = &product.calendar.quiet[0];
+    let weekly = matches!(window, Window::Weekly { days: 0b11_0000, from: 1_350, to: 300, .. });
+    assert!(zone == "branch" && weekly, "{window:?}");
+    assert_eq!((product.calendar.quiet.len(), product.calendar.blackouts.len()), (2, 1));
+}
+
 #[test]
 fn a_script_that_runs_on_or_eats_memory_is_ended() {
     let endless =
