The module follows guidance; without caches it asks parents straight

Plans of the whole fleet (sites, shards) need a way to the decisions: bounds per server, misses per class, homes of shards, warming, the pause of refusals. They come as one event; `src/guidance.rs` keeps the accounts, the module stays the one that decides. The budget of cold servers is kept by the same account.

With all caches of its location gone a router went to the archive alone. Where the settings let requests go straight, it now asks the object's parent, with the archive as its source.

--- a/src/guidance.rs
+++ b/src/guidance.rs
@@ -3,7 +3,7 @@
 //! The plans themselves are made in `sites` and `placement`; the module stays the one that decides which server gets
 //! a request. Without guidance nothing here costs or changes anything.
 
-use crate::interface::{Id, Time};
+use crate::interface::{Id, Request, Time};
 use rustc_hash::FxHashMap;
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -153,9 +153,12 @@
         }
     }
 
-    /// What was sent at a moment never came to this server: the cache before it had the copy.
-    pub fn spared(&mut self, server: &Id, sent: Time) {
-        if let Some((_, account)) = self.bounds.get_mut(server) {
+    /// What was sent at a moment never came to its source: the cache before it had the copy, and nothing was filled.
+    pub fn spared(&mut self, source: &Id, class: usize, sent: Time) {
+        if let Some((_, account)) = self.bounds.get_mut(source) {
+            account.take_back(sent);
+        }
+        if let Some(account) = self.fills.get_mut(class) {
             account.take_back(sent);
         }
     }
@@ -167,18 +170,15 @@
         account.has_room(now, self.window(), rate * self.window() as f64, work, self.since)
     }
 
-    /// A request of a class goes out with a source, from which a miss would be filled.
-    pub fn filling(&mut self, now: Time, class: usize, work: f64) {
+    /// A request goes out to a cache; `source`: from where a miss would be filled.
+    pub fn filling(&mut self, now: Time, request: &Request, work: f64, to: &Id, source: Option<&Id>) {
         let window = self.window();
-        if let Some(account) = self.fills.get_mut(class) {
+        if let Some(account) = self.fills.get_mut(request.class).filter(|_| source.is_some()) {
             account.book(now, window, work);
         }
-    }
-
-    /// It was a hit: nothing was filled.
-    pub fn not_filled(&mut self, class: usize, sent: Time) {
-        if let Some(account) = self.fills.get_mut(class) {
-            account.take_back(sent);
+        let warming = self.shard(request.object).filter(|s| source.is_some() && s.home.as_ref() == source);
+        if warming.and_then(|s| s.warming.as_ref()).is_some_and(|w| w.to == *to) {
+            self.warming.entry(to.clone()).or_default().book(now, window, work);
         }
     }
 
@@ -208,19 +208,15 @@
         self.shard(object)?.home.as_ref()
     }
 
-    /// Where this request of an object goes for warming, if its turn has come.
-    pub fn warms(&self, now: Time, object: u64, work: f64) -> Option<&Id> {
-        let warming = self.shard(object)?.warming.as_ref()?;
+    /// Where this request of an object goes for warming, if its turn has come, and the home that fills it.
+    pub fn warms(&self, now: Time, object: u64, work: f64) -> Option<(&Id, &Id)> {
+        let shard = self.shard(object)?;
+        let warming = shard.warming.as_ref()?;
         let (window, none) = (self.window(), Account::default());
         let account = self.warming.get(&warming.to).unwrap_or(&none);
         let budget = warming.rate * window as f64;
-        account.has_room(now, window, budget, work, self.since).then_some(&warming.to)
-    }
-
-    /// A request goes there for warming.
-    pub fn warmed(&mut self, now: Time, to: &Id, work: f64) {
-        let window = self.window();
-        self.warming.entry(to.clone()).or_default().book(now, window, work);
+        let turn = account.has_room(now, window, budget, work, self.since);
+        Some((&warming.to, shard.home.as_ref()?)).filter(|_| turn)
     }
 }
 
@@ -253,7 +249,7 @@
                 if guide.admits(now, &server, work, 0.0) {
                     guide.sent(now, &server, work);
                     if hit {
-                        guide.spared(&server, now);
+                        guide.spared(&server, 0, now);
                     } else {
                         sent.push((now, work));
                     }
@@ -304,10 +300,10 @@
         let warming = Some(Warming { to: "b".into(), rate: 0.5 });
         let homes = [Home { start: 0, home: Some("a".into()), warming }].into();
         let mut guide = guide(Guidance { homes, ..Guidance::default() });
-        let mut sent = 0;
+        let (request, mut sent) = (Request { object: 7, ..Request::default() }, 0);
         for now in (S..S + 10 * S).step_by(1_000) {
-            if let Some(to) = guide.warms(now, 7, 100_000.0).cloned() {
-                guide.warmed(now, &to, 100_000.0);
+            if let Some((to, home)) = guide.warms(now, 7, 100_000.0).map(|w| (w.0.clone(), w.1.clone())) {
+                guide.filling(now, &request, 100_000.0, &to, Some(&home));
                 sent += 1;
             }
         }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -4,9 +4,10 @@
 //! Aging State Information" (2015), eq. 24 with alpha 0: a request names as oldest copy accepted the fresh
 //! time plus gamma1 x i tenths of the grace. A hash of the object picks the cache, another the parent.
 
-use crate::guidance::Guide;
+use crate::guidance::{Account, Guide};
 use crate::interface::*;
-use std::collections::{BTreeMap, VecDeque};
+use crate::purges::recent::Recent;
+use std::collections::BTreeMap;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Tenths of the grace for each request under way above what chance makes of the average. The paper has 3.
@@ -33,7 +34,7 @@
 const READMIT_BELOW: f64 = 0.2;
 /// Microseconds of a first ejection; each further one in a row doubles, up to EJECT_DOUBLINGS times.
 const EJECT_FOR: Time = 1_000_000;
-/// See EJECT_FOR: eight seconds at most, so that a healed server is soon found.
+/// Eight seconds at most, so that a healed server is soon found.
 const EJECT_DOUBLINGS: u32 = 3;
 /// Errors after which, where nothing else came, the request itself is what can't be used.
 const ALL_ERRORS: u32 = 3;
@@ -79,8 +80,7 @@
 const SHARE_STEP: f64 = 0.01;
 /// Least share kept: it goes on being asked a little, or nothing would show that it has recovered.
 const LEAST_SHARE: f64 = 0.05;
-/// Part of its best peer's share below which a parent keeps fewer objects: fills of all locations meet at an
-/// object's parent, and it is left only where that one lags far behind.
+/// Part of its best peer's share below which a parent keeps fewer objects: fills of all locations meet there.
 const HOME_BELOW: f64 = 0.5;
 /// A cache keeps objects up to this many times its share of the work: less moves without need.
 const LOAD_BOUND: f64 = 1.25;
@@ -88,8 +88,6 @@
 const LOAD_SPAN: f64 = 15e6;
 /// Work in microseconds with which a cache's record starts: chance of a few requests moves nothing.
 const LOAD_PRIOR: f64 = 2e6;
-/// Rank at which copies are kept.
-const KEEP: u8 = 1;
 
 #[derive(Default)]
 struct Server {
@@ -103,7 +101,7 @@
     until: Time,
     ejections: u32,
     on_trial: bool,
-    sent: VecDeque<(Time, f64)>,
+    sent: Account,
     hit_share: f64,
     limit: f64,
     usual: f64,
@@ -181,8 +179,7 @@
     failed: f64,
     retry_tokens: f64,
     work: Vec<f64>,
-    purged: BTreeMap<(bool, u64), Time>,
-    purges: VecDeque<(Time, (bool, u64))>,
+    purged: Recent,
     watching: bool,
     guide: Guide,
     /// The least that any location's link has shown so far for each of its caches, in KB a second.
@@ -207,7 +204,10 @@
             Event::Members { complete, members } => self.members(complete, members),
             Event::Settings(settings) => self.retune(*settings),
             Event::WatchFailed => self.watching = false,
-            Event::Guidance(guidance) => self.guide.follow(self.now, guidance),
+            Event::Guidance(guidance) => {
+                self.guide.follow(self.now, guidance);
+                self.members(false, Vec::new());
+            }
             Event::Request(request) => self.request(request, actions),
             Event::Outcome(outcome) => self.outcome(outcome, actions),
             Event::Begun { request } => {
@@ -216,7 +216,11 @@
                 }
             }
             Event::ClientGone { request } => self.client_gone(request, actions),
-            Event::Purged { object, group, age } => self.purge(object, group, age),
+            Event::Purged { object, group, age } => {
+                // Kept twice as long as copies may linger: a fill from an old copy may end after the last drop.
+                let until = self.now.saturating_add(self.settings.purge_done.saturating_mul(2));
+                self.purged.told(object, group, self.now.saturating_sub(age), until);
+            }
             Event::Timer { token } => self.overdue(token),
         }
     }
@@ -229,10 +233,7 @@
         let span = AVERAGE_SPAN.min((self.now - started.min(self.now)) as f64).max(1.0);
         self.average += (f64::from(self.under_way) - self.average) * (1.0 - (-dt / span).exp());
         self.failed *= (-dt / FAILED_SPAN).exp();
-        while self.purges.front().is_some_and(|p| p.0 <= self.now) {
-            let ended = self.purges.pop_front().filter(|e| !self.purges.iter().any(|p| p.1 == e.1));
-            ended.and_then(|e| self.purged.remove(&e.1));
-        }
+        self.purged.pass_time(self.now);
     }
 
     fn retune(&mut self, settings: Settings) {
@@ -283,7 +284,8 @@
             }
         }
         for (role, list) in [(Role::Cache, 0), (Role::Parent, 1), (Role::Origin, 2)] {
-            let near = |m: &Member| role != Role::Cache || m.zone == self.settings.zone;
+            let here = |m: &Member| m.zone == self.settings.zone || self.guide.beyond(&m.id);
+            let near = |m: &Member| role != Role::Cache || here(m);
             let serves = |m: &Member| m.role == role && m.listed == Listed::Healthy && near(m);
             let all = self.servers.iter().enumerate();
             self.serving[list] = all.filter(|s| serves(&s.1.member)).map(|s| s.0).collect();
@@ -312,7 +314,7 @@
         // average: counted from the average itself, old copies would be served on the calmest day.
         let usual = self.average + self.average.sqrt();
         let i = (f64::from(self.under_way) + self.failed - usual).max(0.0);
-        let tenths = (GAMMA1 * i).clamp(0.0, TENTHS);
+        let tenths = if self.guide.pressed() { TENTHS } else { (GAMMA1 * i).clamp(0.0, TENTHS) };
         let grace = (class.grace as f64 * tenths / TENTHS) as Time;
         let age = class.fresh.saturating_add(if class.fresh == 0 { 0 } else { grace });
         // Danger: an absent age means the fresh time, or any age: a capped age is never 0.
@@ -322,18 +324,7 @@
     }
 
     fn purged_at(&self, request: &Request) -> Option<Time> {
-        let object = self.purged.get(&(true, request.object));
-        object.max(self.purged.get(&(false, request.group))).copied()
-    }
-
-    fn purge(&mut self, object: Option<u64>, group: u64, age: Time) {
-        let at = self.now.saturating_sub(age);
-        let key = object.map_or((false, group), |o| (true, o));
-        let latest = self.purged.entry(key).or_insert(at);
-        *latest = at.max(*latest);
-        // Kept twice as long as copies may linger: a fill from an old copy may end after the last drop.
-        let until = self.now.saturating_add(self.settings.purge_done.saturating_mul(2));
-        self.purges.push_back((until, key));
+        self.purged.at(request.object, request.group)
     }
 
     /// Servers of a role, the object's first choice first: weighted rendezvous hashing.
@@ -393,7 +384,10 @@
     }
 
     fn pick_cache(&self, open: &Open) -> Option<usize> {
-        let order = self.order(Role::Cache, open.request.object);
+        let mut order = self.order(Role::Cache, open.request.object);
+        // The home that the map of shards names comes first, and the hash's order where it fails.
+        let home = self.guide.home(open.request.object).and_then(|h| self.by_id.get(h));
+        order.sort_by_key(|s| Some(s) != home);
         let allowed = |s: usize| self.in_group(open, s) && self.cold_room(s, open);
         // Danger: past its capacity a cache answers all in turn too late. What it has no room for goes to the
         // next in the order, and is refused where none has room.
@@ -412,6 +406,14 @@
             .or_else(|| it.find(|&s| allowed(s)).filter(|_| !order.iter().any(|&s| self.usable(s))))
     }
 
+    /// A request whose turn it is to warm a shard's next home: that one, and the present one as its source.
+    fn warming(&self, open: &Open) -> Option<(usize, usize)> {
+        let (to, from) = self.guide.warms(self.now, open.request.object, open.work)?;
+        let pair = (*self.by_id.get(to)?, *self.by_id.get(from)?);
+        let fits = |s| self.serving(Role::Cache).contains(&s) && self.usable(s) && self.cold_room(s, open);
+        (open.attempts == 0 && fits(pair.0) && fits(pair.1) && self.has_room(pair.0)).then_some(pair)
+    }
+
     fn pick_source(&self, open: &Open) -> Option<usize> {
         let parents = self.order(Role::Parent, open.request.object);
         let works = |s: usize| !open.bad_sources.contains(&s) && self.usable(s) && self.cold_room(s, open);
@@ -429,8 +431,8 @@
         let must = self.settings.classes.get(open.request.class).is_some_and(|c| c.uncacheable);
         self.origin().filter(|&s| {
             // Danger: an overloaded origin refuses or stops. Only what must run there comes unasked.
-            let room = self.has_room(s) && self.usable(s) && !open.bad_sources.contains(&s);
-            (must || room) && self.in_group(open, s)
+            let room = self.has_room(s) && self.usable(s) && self.cold_room(s, open);
+            (must || room && !open.bad_sources.contains(&s)) && self.in_group(open, s)
         })
     }
 
@@ -509,18 +511,14 @@
     }
 
     /// More requests under way at a server, or through it, while answers are in time, fewer when late.
-    fn room(&mut self, s: usize, in_time: bool) {
-        self.room_by(s, in_time, MOST_RISE);
-    }
-
-    fn room_by(&mut self, s: usize, in_time: bool, most_rise: f64) {
+    fn room(&mut self, s: usize, in_time: bool, faster: f64) {
         let next = f64::from(self.servers[s].out + u32::from(self.servers[s].limit >= 1.0));
         let used = self.usual(s).max(next);
         let (now, server) = (self.now, &mut self.servers[s]);
         if in_time {
             server.share = (server.share + SHARE_STEP).min(1.0);
             if used >= server.limit / 2.0 {
-                server.limit += (1.0 / server.limit).min(server.limit * most_rise);
+                server.limit += (1.0 / server.limit).min(server.limit * MOST_RISE * faster);
             }
         } else if server.late > LATE_BORNE && now >= server.cut.saturating_add(LIMIT_PAUSE) {
             server.share = (server.share * LIMIT_CUT).max(LEAST_SHARE);
@@ -552,25 +550,19 @@
         same && self.now < sent.saturating_add(class.window)
     }
 
-    /// Whether a server that started lately can take one more attempt.
+    /// Whether a server that started lately, or that the fleet's plans hold back, can take one more attempt.
     /// Danger: sent more than a multiple of what it can do over a window, it falls over and stays down.
     fn cold_room(&self, s: usize, open: &Open) -> bool {
-        let Some(budget) = self.cold_budget(s) else { return true };
-        let (window, server) = (self.settings.fall_window, &self.servers[s]);
-        let since = self.now.saturating_sub(window);
-        let spent: f64 = server.sent.iter().filter(|e| e.0 >= since).map(|e| e.1).sum();
-        let work = self.mean_work(open.request.class);
-        // Danger: over hundreds of routers each one's part of a window is less than one request, and a cold
-        // server would get nothing until it is warm. Then one request is due whenever its work has added up;
-        // the first at a moment of this router's own, so that not all come at once.
-        let turn = work / budget * window as f64;
+        let server = &self.servers[s];
         let own = xxh3_64_with_seed(&server.key.to_le_bytes(), self.seed) as f64 / u64::MAX as f64;
-        let first = server.member.started.saturating_add(window + (own * turn) as Time);
-        let due = server
-            .sent
-            .back()
-            .map_or(first, |e| e.0.saturating_add((e.1.max(work) / budget * window as f64) as Time));
-        spent + work <= budget || (work > budget && self.now >= due)
+        if !self.guide.admits(self.now, &server.member.id, open.work, own) {
+            return false;
+        }
+        let Some(budget) = self.cold_budget(s) else { return true };
+        let (window, work) = (self.settings.fall_window, self.mean_work(open.request.class));
+        let turn = (own * (work / budget * window as f64)) as Time;
+        let first = server.member.started.saturating_add(window + turn);
+        server.sent.has_room(self.now, window, budget, work, first)
     }
 
     /// Work this router may send to a cold server in one window; `None` where it is warm.
@@ -583,13 +575,11 @@
         };
         let window = self.settings.fall_window;
         let age = self.now.saturating_sub(server.member.started).saturating_sub(window);
-        if server.member.started == 0 || age >= start.ramp {
-            return None;
-        }
+        let cold = server.member.started > 0 && age < start.ramp;
         let share = start.share + (1.0 - start.share) * age as f64 / start.ramp as f64;
         let whole = self.low_size(server) * share * start.multiple * window as f64;
         let processes = f64::from(self.settings.processes.max(1));
-        Some(COLD_SHARE * whole / processes / self.sharing(&server.member))
+        cold.then(|| COLD_SHARE * whole / processes / self.sharing(&server.member))
     }
 
     /// A low size. Danger: sizes guessed from reports of crowded peers pushed caches over.
@@ -642,24 +632,21 @@
         let attempt = Attempt { number, server, source, sent, patience, held_only, freed: false, origin };
         for s in attempt.parties() {
             let cold = self.cold_budget(s).is_some();
-            let since = self.now.saturating_sub(self.settings.fall_window);
             self.count_out(s, true);
             let entry = &mut self.servers[s];
             entry.on_trial |= entry.ejected;
-            entry.sent.retain(|e| e.0 >= since);
             if cold {
-                entry.sent.push_back((self.now, work));
+                entry.sent.book(self.now, self.settings.fall_window, work);
             }
+            self.guide.sent(self.now, &entry.member.id, open.work);
         }
+        let of = |s: usize| &self.servers[s].member.id;
+        self.guide.filling(self.now, &open.request, open.work, of(server), source.map(of));
+        let to = of(server).clone();
         self.under_way += u32::from(role == Role::Cache);
         open.attempts += 1;
         open.out = Some(attempt);
-        actions.push(Action::Send {
-            request: id.clone(),
-            server: self.servers[server].member.id.clone(),
-            until: open.deadline,
-            fetch,
-        });
+        actions.push(Action::Send { request: id.clone(), server: to, until: open.deadline, fetch });
         self.next_timer += 1;
         actions.push(Action::Timer { at: self.now + patience, token: self.next_timer });
         self.timers.insert(self.next_timer, (id.clone(), number));
@@ -678,11 +665,15 @@
         if class.uncacheable && self.settings.direct {
             return self.pick_origin(open).map(|origin| (origin, None, None));
         }
+        if let Some((to, from)) = self.warming(open) {
+            return Some((to, Some(from), Some(self.fetch(open, class, from, true))));
+        }
         // Danger: past what links and sources can bring, all fills come late and hold the caches' places.
         // Then a request only looks: what is held is still served, the rest is refused at once.
+        let fills = self.guide.fills(self.now, open.request.class, open.work);
         let source = match class.uncacheable {
             true => self.pick_origin(open).or_else(|| self.pick_source(open)),
-            false => self.pick_source(open),
+            false => self.pick_source(open).filter(|_| fills),
         };
         // Danger: a slow origin behind the parents holds up even what they have. Then they are asked for
         // what they hold, and only as much of the rest goes on to the origin as it answers in time. So it is
@@ -693,26 +684,35 @@
             let void = || self.purged_at(&open.request).is_some() && !self.has_room(o);
             behind && !class.uncacheable && (self.servers[o].late > LATE_BORNE || void())
         });
-        if open.lacked && crowded.is_some_and(|o| !self.has_room(o)) {
-            return None;
-        }
-        if source.is_none() && (open.looked || class.uncacheable) {
+        let in_line = open.lacked && crowded.is_some_and(|o| !self.has_room(o));
+        if in_line || source.is_none() && (open.looked || class.uncacheable) {
             return None;
         }
+        let held_only = crowded.is_some() && !open.lacked;
         // Danger: traffic that passes the caches by fills the location's link: only where no cache is listed.
+        // Then parents are asked straight: the archive alone can't bear a whole location.
         let none_here = self.settings.direct && self.serving(Role::Cache).is_empty();
-        let server = self.pick_cache(open).or_else(|| self.pick_origin(open).filter(|_| none_here))?;
-        let named = source.unwrap_or(server);
-        let fetch = Fetch {
-            source: self.servers[named].member.id.clone(),
+        let (server, source) = match self.pick_cache(open) {
+            Some(cache) => (cache, source),
+            None => {
+                let server = source.filter(|_| none_here)?;
+                (server, self.pick_origin(open).filter(|&o| o != server && !held_only))
+            }
+        };
+        let fetch = self.fetch(open, class, source.unwrap_or(server), held_only);
+        Some((server, source, Some(fetch)))
+    }
+
+    fn fetch(&self, open: &Open, class: &Class, source: usize, held_only: bool) -> Fetch {
+        Fetch {
+            source: self.servers[source].member.id.clone(),
             max_age: self.accepted_age(&open.request),
-            keep: if class.uncacheable { 0 } else { KEEP },
+            keep: u8::from(!class.uncacheable),
             // Danger: a fill under way since before a purge would hand out the old copy.
             join: self.settings.can_join && self.purged_at(&open.request).is_none(),
-            held_only: crowded.is_some() && !open.lacked,
-            renew: class.fresh > 0,
-        };
-        Some((server, source, Some(fetch)))
+            held_only,
+            renew: class.fresh > 0 && !self.guide.pressed(),
+        }
     }
 
     /// The final answer to a request that no further attempt can help; at once, never held back.
@@ -725,7 +725,8 @@
             actions.push(Action::Fail { request });
             return;
         }
-        let wait = RETRY_AFTER + (RETRY_AFTER as f64 * self.chance()) as Time;
+        let (least, more) = self.guide.pause().unwrap_or((RETRY_AFTER, RETRY_AFTER));
+        let wait = least + (more as f64 * self.chance()) as Time;
         let advised = if self.settings.retry_after { wait.min(self.settings.max_retry_after) } else { 0 };
         actions.push(Action::Refuse { request, retry_after: advised });
     }
@@ -758,6 +759,11 @@
         if let Some(report) = outcome.report.filter(|r| r.hit_share >= 0.0) {
             self.servers[attempt.server].hit_share = report.hit_share.min(1.0);
         }
+        // What was found in the cache has not come to the source.
+        let hit = matches!(outcome.note, Note::Hit | Note::Stale);
+        if let Some(source) = attempt.source.filter(|_| hit) {
+            self.guide.spared(&self.servers[source].member.id, open.request.class, attempt.sent);
+        }
         self.judge(attempt, &outcome);
         open.errors = if outcome.code == Code::Error { open.errors + 1 } else { 0 };
         // Sending times are learned from hits: fills on crowded links would make lateness look normal.
@@ -844,21 +850,18 @@
         let by_way = note == Note::FilledByOrigin || note == Note::Filled && untold;
         let Some(origin) = self.origin().filter(|_| by_way) else { return false };
         self.note_late(origin, late);
-        let its = !late || self.origin_is_later(origin, attempt.source.unwrap_or(attempt.server));
+        let than = attempt.source.unwrap_or(attempt.server);
+        let borne = if than == origin { 0.0 } else { LATER_THAN * self.servers[than].late };
+        let its = !late || self.servers[origin].late > LATE_BORNE.max(borne);
         if its && (late || attempt.origin.is_some() || attempt.source == Some(origin)) {
             // Danger: of what the origin answers behind the parents, one of many routers sees little: what it
             // may ask on for would take longer to follow than copies are void.
             let faster = if attempt.origin.is_some() { self.rarity(origin) } else { 1.0 };
-            self.room_by(origin, !late, MOST_RISE * faster);
+            self.room(origin, !late, faster);
         }
         its && late
     }
 
-    fn origin_is_later(&self, origin: usize, than: usize) -> bool {
-        let borne = if than == origin { 0.0 } else { self.servers[than].late };
-        self.servers[origin].late > LATE_BORNE.max(LATER_THAN * borne)
-    }
-
     /// Who is late, or in time: the cache on a hit, else whichever of cache and source was late more often.
     fn timing(&mut self, attempt: Attempt, note: Note, late: bool) {
         if self.origin_timing(attempt, note, late) {
@@ -892,10 +895,10 @@
     }
 
     fn adjust(&mut self, cache: usize, source: Option<usize>, late: bool) {
-        let Some(source) = source else { return self.room(cache, !late) };
+        let Some(source) = source else { return self.room(cache, !late, 1.0) };
         let its = self.servers[cache].late <= LATER_THAN * self.servers[source].late + BLAME_FLOOR;
         let judged = [(cache, !late || !its), (source, !late || its)];
-        judged.into_iter().filter(|j| j.1).for_each(|j| self.room(j.0, !late));
+        judged.into_iter().filter(|j| j.1).for_each(|j| self.room(j.0, !late, 1.0));
     }
 
     fn judge(&mut self, attempt: Attempt, outcome: &Outcome) {
@@ -932,9 +935,9 @@
             _ if outcome.code == Code::Reset => self.verdict(attempt.server, STEP, true),
             (Note::SourceRefused | Note::SourceFailed, Some(source)) => {
                 self.verdict(source, STEP, true);
-                self.room(source, false);
+                self.room(source, false, 1.0);
             }
-            (Note::FillsFull, _) => self.room(attempt.server, false),
+            (Note::FillsFull, _) => self.room(attempt.server, false, 1.0),
             // Danger: refusals behind the parents are the origin's cry for less; unheeded, it stops.
             (Note::OriginFailed, _) => {
                 self.origin_timing(attempt, Note::FilledByOrigin, true);
@@ -945,21 +948,17 @@
                     self.note_late(attempt.server, true);
                 }
                 self.verdict(attempt.server, STEP, true);
-                self.room(attempt.server, false);
+                self.room(attempt.server, false, 1.0);
             }
             // Danger: where nothing is told, a parent that is full or dead looks like a full cache.
             _ if outcome.code == Code::Full && self.settings.detail != Detail::All => {
                 self.timing(attempt, outcome.note, true);
                 if let Some(source) = source {
-                    let part = if self.is_later(source, attempt.server) {
-                        1.0
-                    } else {
-                        self.its_part(attempt, source)
-                    };
-                    self.verdict(source, STEP * part, true);
+                    let later = f64::from(u8::from(self.is_later(source, attempt.server)));
+                    self.verdict(source, STEP * later.max(self.its_part(attempt, source)), true);
                 }
             }
-            _ if outcome.code == Code::Full => self.room(attempt.server, false),
+            _ if outcome.code == Code::Full => self.room(attempt.server, false, 1.0),
             _ if outcome.code == Code::TimedOut && attempt.origin.is_some() => {
                 self.origin_timing(attempt, Note::FilledByOrigin, true);
             }
