Judge each site from own attempts and peers' notes, and pace its return by steps

Doormans need to agree that a whole site is lost, without taking lost datagrams, a few dead boxes or their own cut-off for it, and to bring it back without a stampede.

The judge weighs runs of failures by kind of end against answers in time, its own and its peers'. Ruled out: the view as evidence (it holds live members dead when datagrams are lost); a majority of peers (it tips differently on doormans that miss different notes); steps of equal amounts (the first would be the steepest). One that any witness outside reaches is not lost; one that fails everywhere changes nothing. Parts of a bound are fixed by the most doormans there may be, so no datagram matters to it.

--- a/src/sites/mod.rs
+++ b/src/sites/mod.rs
@@ -4,7 +4,9 @@
 //! Order of precedence: rules of the protocol, then a lost site's plan, then its paced return, then moves of shards,
 //! then splits.
 
+pub mod judge;
 pub mod note;
+pub mod pace;
 
 use crate::interface::Time;
 
