--- a/src/sites/judge_tests.rs
+++ b/src/sites/judge_tests.rs
@@ -229,6 +229,19 @@
     Ok(())
 }
 
+#[test]
+fn a_few_silent_attempts_at_a_site_of_one_box_are_no_evidence() {
+    let (mut j, mut actions) = (judge(0, 0), Vec::new());
+    j.listed(0, [(10, 1, true)]);
+    for n in 1..=8 {
+        assert!(!j.any(), "{n}");
+        j.attempt(n * S, 10, 1, End::Silent);
+        j.attempt(n * S, 20, HUB, End::InTime);
+        j.tick(n * S, &mut actions);
+    }
+    assert_eq!(j.state(1), State::Doubtful);
+}
+
 const ENDS: [End; 4] = [End::InTime, End::Refused, End::Reset, End::Silent];
 
 proptest! {
