Plans for the loss of each site: where its load goes, who is refused first

When a site is lost, all doormans have to move its load at once and alike, within what parents, the archive and the links can bear. Guidance for one doorman mixes plans by the part at which sites are returning, and takes its part over the most doormans that may exist.

Adding up plans of single sites and scaling them down: what goes to the other lost site would be refused though there is room elsewhere.

Hits and misses are separate parts of a class: a short parent refuses misses, never hits.

--- a/src/sites/mod.rs
+++ b/src/sites/mod.rs
@@ -5,6 +5,8 @@
 //! then splits.
 
 pub mod note;
+pub mod order;
+pub mod plan;
 
 use crate::interface::Time;
 
--- /dev/null
+++ b/src/sites/plan/tests.rs
@@ -0,0 +1,308 @@
+use super::guide::Asked;
+use super::*;
+use crate::guidance::Guidance;
+use crate::interface::{Effect, Group};
+use proptest::prelude::*;
+
+fn class(uncacheable: bool, effect: Effect) -> Class {
+    let (fresh, grace) = if uncacheable { (0, 0) } else { (30_000_000, 30_000_000) };
+    Class { fresh, grace, uncacheable, aim: 1, aim_stretch: 1.0, effect, group: Group::All, window: 0 }
+}
+
+fn classes() -> Vec<Class> {
+    vec![
+        class(false, Effect::Safe),
+        class(false, Effect::Safe),
+        class(true, Effect::Safe),
+        class(true, Effect::Unsafe),
+    ]
+}
+
+fn target(server: &str, role: Role, zone: Zone, capacity: f64) -> Target {
+    Target { server: server.into(), role, zone, capacity, price: 0.0 }
+}
+
+/// Two branches and a hub: caches of 100 each, a parent of 50, the origin of 10.
+fn small() -> Inputs {
+    let targets = vec![
+        target("a", Role::Cache, 0, 100.0),
+        target("b", Role::Cache, 1, 100.0),
+        target("p", Role::Parent, 2, 50.0),
+        target("o", Role::Origin, 2, 10.0),
+    ];
+    Inputs {
+        zones: 3,
+        targets,
+        links: vec![],
+        load: vec![vec![60.0, 20.0, 1.0, 1.0], vec![30.0, 10.0, 1.0, 1.0]],
+        misses: vec![0.1, 0.1, 0.0, 0.0],
+        behind: vec![],
+        worth: vec![1.0, 2.0, 1.0, 3.0],
+        classes: classes(),
+        settings: Settings::default(),
+        direct: true,
+    }
+}
+
+prop_compose! {
+    fn any_inputs()(zones in 1usize..6)(
+        zones in Just(zones),
+        servers in prop::collection::vec((0u8..8, 0..zones, 0.0f64..60.0, 0u8..3), 1..14),
+        origin in prop_oneof![Just(0.0), 0.5f64..80.0],
+        links in prop::collection::vec(prop_oneof![Just(0.0), 0.5f64..50.0], 0..=zones),
+        load in prop::collection::vec(prop::collection::vec(prop_oneof![Just(0.0), 0.0f64..40.0], 4), 0..=zones),
+        misses in prop::collection::vec(prop_oneof![Just(0.0), 0.0f64..=1.0], 4),
+        behind in prop::collection::vec(0.0f64..=1.0, 0..=4),
+        worth in prop::collection::vec(0.0f64..10.0, 4),
+        floor in prop_oneof![Just(0.0), 0.0f64..0.3],
+        (beyond, direct) in any::<(bool, bool)>(),
+    ) -> Inputs {
+        let role = |r| if r < 5 { Role::Cache } else { Role::Parent };
+        let server = |(n, (r, zone, capacity, price)): (usize, (u8, Zone, f64, u8))| {
+            Target { price: f64::from(price), ..target(&format!("s{n}"), role(r), zone, capacity) }
+        };
+        let mut targets: Vec<Target> = servers.into_iter().enumerate().map(server).collect();
+        targets.push(target("origin", Role::Origin, 0, origin));
+        targets.push(target("spare", Role::Parent, zones - 1, 5.0));
+        let settings = Settings { floor, beyond, ..Settings::default() };
+        Inputs { zones, targets, links, load, misses, behind, worth, classes: classes(), settings, direct }
+    }
+}
+
+fn config() -> ProptestConfig {
+    ProptestConfig { cases: 128, ..crate::net::testing::config() }
+}
+
+fn solved(inputs: &Inputs, lost: &[Zone]) -> (Plan, Plan) {
+    let inputs = inputs.clone().checked().unwrap();
+    let model = Model::new(&inputs, lost);
+    (solve::solve(&model).plan(1), solve::fill(&model).plan(1))
+}
+
+/// Whether a plan keeps to all bounds, by its flows alone.
+fn keeps_bounds(inputs: &Inputs, plan: &Plan) -> Result<(), TestCaseError> {
+    let inputs = &inputs.clone().checked().unwrap();
+    let (mut groups, mut links) = (vec![0.0; plan.groups.len()], vec![0.0; inputs.zones]);
+    for (zone, class) in (0..inputs.zones).flat_map(|z| (0..4).map(move |c| (z, c))) {
+        let mut served = 0.0;
+        for flow in &plan.flows[zone][class] {
+            let cache = flow.via.map(|g| &plan.groups[g]);
+            let source = flow.source.map(|g| &plan.groups[g]);
+            prop_assert!(class < 2 || (cache.is_none() && source.unwrap().role == Role::Origin));
+            prop_assert!(inputs.settings.beyond || cache.is_none_or(|c| c.zone == zone));
+            prop_assert!(inputs.direct || class > 1 || cache.is_some());
+            flow.via.iter().for_each(|&g| groups[g] += flow.work);
+            flow.source.iter().for_each(|&g| groups[g] += flow.filled);
+            links[cache.map_or(zone, |c| c.zone)] += flow.filled;
+            if cache.is_some_and(|c| c.zone != zone) {
+                links[zone] += flow.work;
+            }
+            if source.is_some_and(|s| s.role == Role::Parent) {
+                let origin = plan.groups.iter().position(|g| g.role == Role::Origin);
+                origin.iter().for_each(|&o| groups[o] += flow.filled * inputs.behind[class]);
+            }
+            served += flow.work;
+        }
+        prop_assert!(served <= inputs.load[zone][class]);
+    }
+    for (group, used) in plan.groups.iter().zip(groups) {
+        prop_assert!(used <= group.capacity * inputs.settings.headroom, "{used} at {group:?}");
+        let gone = group.targets.iter().any(|t| plan.lost.contains(&inputs.targets[t.0].zone));
+        prop_assert!(group.role == Role::Origin || !gone);
+    }
+    for (link, used) in inputs.links.iter().zip(links) {
+        prop_assert!(*link <= 0.0 || used <= *link, "{used} of {link}");
+    }
+    for (target, work) in inputs.targets.iter().zip(&plan.work) {
+        prop_assert!(*work <= target.capacity * inputs.settings.headroom);
+    }
+    Ok(())
+}
+
+/// What is told of the origin's classes: served whole.
+fn pinned_whole(inputs: &Inputs, plan: &Plan) -> bool {
+    inputs.load.iter().zip(&plan.admitted).all(|(l, a)| (2..4).all(|c| l[c] == 0.0 || a[c] >= model::WHOLE))
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// Whatever is lost: no target, headroom or link is passed, and the program serves no less than the filling.
+    #[test]
+    fn plans_keep_to_every_bound_and_to_the_floors(
+        inputs in any_inputs(), lost in prop::collection::btree_set(0usize..6, 0..4),
+    ) {
+        let lost: Vec<Zone> = lost.into_iter().filter(|&z| z < inputs.zones).collect();
+        let (plan, filled) = solved(&inputs, &lost);
+        keeps_bounds(&inputs, &plan)?;
+        keeps_bounds(&inputs, &filled)?;
+        prop_assert!(plan.floors || !filled.floors, "there was room for all floors");
+        if filled.floors && pinned_whole(&inputs, &filled) {
+            prop_assert!(pinned_whole(&inputs, &plan));
+            prop_assert!(plan.gain >= filled.gain - 0.02, "{} below {}", plan.gain, filled.gain);
+        }
+    }
+
+    /// Where there was room for floors and writes, more capacity never serves less worth.
+    #[test]
+    fn more_capacity_never_serves_less(
+        inputs in any_inputs(), lost in 0usize..6, which: prop::sample::Index, more in 0.1f64..50.0,
+    ) {
+        let lost = if lost < inputs.zones { vec![lost] } else { vec![] };
+        let mut larger = inputs.clone();
+        which.get_mut(&mut larger.targets).capacity += more;
+        let (before, after) = (solved(&inputs, &lost).0, solved(&larger, &lost).0);
+        prop_assert!(after.floors || !before.floors);
+        if before.floors && pinned_whole(&inputs, &before) {
+            prop_assert!(after.gain >= before.gain - 0.02, "{} after {}", after.gain, before.gain);
+        }
+    }
+
+    /// Doormans that list the servers in another order have the same plans, bit by bit; other inputs another number.
+    #[test]
+    fn equal_inputs_give_equal_plans(inputs in any_inputs(), seed: u64, which: prop::sample::Index) {
+        use rand::{seq::SliceRandom, SeedableRng};
+        let inputs = Inputs { zones: inputs.zones.min(3), ..inputs };
+        let Ok(one) = Plans::make(&inputs) else { return Ok(()) };
+        let mut shuffled = inputs.clone();
+        shuffled.targets.shuffle(&mut rand_pcg::Pcg32::seed_from_u64(seed));
+        let other = Plans::make(&shuffled).unwrap();
+        prop_assert_eq!(one.number(), other.number());
+        prop_assert_eq!(&one, &other);
+        prop_assert_eq!(one.for_lost(&[2, 0, 1, 0, 9]), other.for_lost(&[0, 1, 2]));
+        let mut changed = inputs;
+        which.get_mut(&mut changed.targets).capacity += 1.0;
+        prop_assert_ne!(Maker::new(&changed).unwrap().plans.number, one.number());
+    }
+
+    /// For any states of the sites: the parts of all doormans together are within what each server can do, and what
+    /// returns and what was moved are never both sent.
+    #[test]
+    fn all_doormans_together_keep_to_the_bounds(
+        inputs in any_inputs(),
+        factors in prop::collection::vec(prop_oneof![Just(0.0), Just(1.0), 0.0f64..=1.0], 6),
+        doormans in prop::collection::vec(0u32..40, 6), trial in 0.0f64..2.0,
+    ) {
+        let inputs = Inputs { zones: inputs.zones.min(3), ..inputs };
+        let Ok(plans) = Plans::make(&inputs) else { return Ok(()) };
+        let all = doormans[..inputs.zones].iter().map(|&d| d.max(1)).sum();
+        let factors = &factors[..inputs.zones];
+        let mut sums = vec![0.0; plans.targets().len()];
+        let mut guided = vec![0.0; inputs.zones];
+        for zone in 0..inputs.zones {
+            let here = doormans[zone];
+            let asked =
+                Asked { zone, here, all, factors, trial, window: 1_000_000, expected_return: 10_000_000 };
+            let guidance = plans.guidance(&asked);
+            prop_assert_eq!(factors.iter().all(|&f| f >= 1.0), guidance == Guidance::default());
+            for bound in &guidance.bounds {
+                let at = plans.targets().iter().position(|t| t.server == bound.server).unwrap();
+                sums[at] += bound.rate * f64::from(here.max(1));
+            }
+            guided[zone] = guidance.fills.iter().flatten().sum::<f64>();
+        }
+        prop_assert!(guided.iter().all(|g| g.is_finite() && *g >= 0.0));
+        for (target, sum) in plans.targets().iter().zip(&sums) {
+            let factor = if target.role == Role::Origin { 1.0 } else { factors[target.zone] };
+            let most = match factor < 1.0 {
+                true => (factor * target.capacity).max(trial).min(target.capacity),
+                false => target.capacity * inputs.settings.headroom,
+            };
+            prop_assert!(*sum <= most * (1.0 + 1e-9), "{sum} over {most} at {target:?}");
+        }
+    }
+}
+
+#[test]
+fn a_lost_branch_goes_straight_and_what_does_not_fit_is_refused_in_order() {
+    let plans = Plans::make(&small()).unwrap();
+    let none = plans.for_lost(&[]);
+    assert!(!none.refuses(None), "{:?}", none.admitted);
+    // The parent and the origin have 51 together; 12 are for fills of the other zone and writes of both.
+    let lost = plans.for_lost(&[0]);
+    let [cheap, dear, uncached, once] = lost.admitted[0][..] else { panic!() };
+    assert!(uncached > 0.999 && once > 0.999 && dear > 0.999 && (0.2..0.6).contains(&cheap), "{lost:?}");
+    // A miss there is worth as much as one here; its caches' hits cost nothing of what is scarce.
+    assert!(lost.admitted[1][0] >= 0.9 && lost.admitted[1][1..] == [1.0; 3], "{lost:?}");
+    let asked = Asked {
+        zone: 0,
+        here: 2,
+        all: 4,
+        factors: &[0.0],
+        trial: 1.0,
+        window: 1_000_000,
+        expected_return: 8_000_000,
+    };
+    let guidance = plans.guidance(&asked);
+    let bound = |server: &str| guidance.bounds.iter().find(|b| &*b.server == server).map(|b| b.rate);
+    assert_eq!((bound("a"), bound("b")), (Some(0.5), None));
+    assert!(bound("p").unwrap() <= 42.5 / 2.0 && bound("o").unwrap() <= 8.5 / 2.0);
+    assert!(guidance.pressed && guidance.pause == (2_000_000, 6_000_000) && guidance.fills[0].is_some());
+    assert_eq!(guidance.fills[1..], [None, None, None]);
+}
+
+#[test]
+fn writes_are_refused_after_everything_but_the_floors() {
+    let mut inputs = small();
+    inputs.targets.retain(|t| t.role != Role::Parent);
+    inputs.load = vec![vec![40.0, 40.0, 4.0, 6.0], vec![0.0; 4]];
+    let plans = Plans::make(&inputs).unwrap();
+    let admitted = &plans.for_lost(&[0]).admitted[0];
+    // Of 8.5: floors of the reads 4, then 4.3 for what must never run twice, then 0.2 for what may.
+    assert!((0.049..0.051).contains(&admitted[0]) && (0.049..0.051).contains(&admitted[1]), "{admitted:?}");
+    assert!(admitted[3] > 0.7 && admitted[2] < 0.06, "{admitted:?}");
+}
+
+#[test]
+fn all_parents_lost_no_load_and_one_zone_have_plans() {
+    let plans = Plans::make(&small()).unwrap();
+    let hub = plans.for_lost(&[2]);
+    assert!(hub.sent(0, 0).iter().all(|s| plans.targets()[s.0].role != Role::Parent));
+    assert!(hub.admitted[0][0] >= 0.9 && hub.floors, "hits are served all the same: {:?}", hub.admitted);
+    let none = Plans::make(&Inputs { load: vec![], ..small() }).unwrap();
+    assert!(!none.for_lost(&[0, 1, 2]).refuses(None));
+    let targets = vec![target("a", Role::Cache, 0, 1.0)];
+    let one = Inputs { zones: 1, targets, load: vec![vec![5.0; 4]], ..small() };
+    assert_eq!(Plans::make(&one).unwrap().for_lost(&[0]).admitted[0], vec![0.0; 4], "nothing is left");
+}
+
+#[test]
+fn figures_that_can_not_be_are_refused_with_their_place() {
+    let bad = |change: &dyn Fn(&mut Inputs)| {
+        let mut inputs = small();
+        change(&mut inputs);
+        Plans::make(&inputs).unwrap_err()
+    };
+    for value in [f64::NAN, f64::INFINITY, -1.0, 2e9] {
+        let of = |error| match error {
+            PlanError::Figure { what, at, .. } => (what, at),
+            other => panic!("{other}"),
+        };
+        assert_eq!(of(bad(&|i| i.targets[1].capacity = value)), ("the capacity of server", 1));
+        assert_eq!(of(bad(&|i| i.load[1][2] = value)), ("the load of class", 2));
+        assert_eq!(of(bad(&|i| i.misses[1] = value)), ("the missed part of class", 1));
+        assert_eq!(of(bad(&|i| i.links = vec![1.0, value])), ("the link of zone", 1));
+        assert_eq!(of(bad(&|i| i.worth[3] = value)), ("the worth of class", 3));
+        assert_eq!(of(bad(&|i| i.settings.headroom = value)).1, 0);
+    }
+    assert!(matches!(bad(&|i| i.targets[0].zone = 3), PlanError::Figure { what: "the zone of server", .. }));
+    assert!(matches!(bad(&|i| i.zones = 200), PlanError::TooMany { what: "zones", count: 200, .. }));
+    assert!(matches!(bad(&|i| i.worth.truncate(2)), PlanError::Shape { count: 2, most: 4, .. }));
+    assert_eq!(bad(&|i| i.targets[1].server = "a".into()), PlanError::Twice("a".into()));
+    assert_eq!(bad(&|i| i.targets.iter_mut().for_each(|t| t.capacity = 0.0)), PlanError::NoTarget(4));
+}
+
+#[test]
+fn the_order_of_refusal_is_as_stated() {
+    use crate::sites::order::{order, Scarce, Step::*};
+    let expected =
+        vec![Renewals, Ageing { class: 0 }, Ageing { class: 1 }, Misses { class: 0 }, Misses { class: 1 }];
+    let writes = [Uncached { class: 2 }, Once { class: 3 }];
+    assert_eq!(order(&small(), Scarce::Link), [&expected[..], &writes].concat());
+    assert_eq!(order(&small(), Scarce::Parent), expected);
+    // The dear class asks the origin ten times as often behind a parent: there it is the cheaper one.
+    let behind = vec![0.05, 0.5];
+    let origin = order(&Inputs { behind, ..small() }, Scarce::Origin);
+    assert_eq!(origin[3..], [Misses { class: 1 }, Misses { class: 0 }, writes[0], writes[1]]);
+    assert_eq!(origin[6].to_string(), "class 3 refused, which must not run twice");
+}
