--- a/src/sites/mod.rs
+++ b/src/sites/mod.rs
@@ -6,7 +6,9 @@
 
 pub mod judge;
 pub mod note;
+pub mod order;
 pub mod pace;
+pub mod plan;
 
 use crate::interface::Time;
 
