Documents of a registry with transactions, and a fenced lease for one planner

Map, plan of moves and growth need durable truth that changes by compare and by one planner. The session of the list of depots knows only depots and writes nothing; it was left alone. The stand-in registry learns leases, all compares, lost answers and a history for checkers.

--- a/crates/standins/src/registry/server.rs
+++ b/crates/standins/src/registry/server.rs
@@ -1,6 +1,6 @@
 //! The members on sockets: one thread, one loop, HTTP/2 by h2's server half.
 
-use super::store::{Refused, Store, COMPACTED};
+use super::store::{Refused, Store, COMPACTED, NO_LEASE};
 use bytes::{Bytes, BytesMut};
 use h2::server::{self, Connection, Handshake, SendResponse};
 use h2::{RecvStream, SendStream};
@@ -8,7 +8,8 @@
 use larchdale::net::grpc::{frame, unframe, Asked, Budget, Io};
 use larchdale::registry::messages::{
     path, request_op, watch_request, CompactionRequest, CompactionResponse, DeleteRangeRequest,
-    DeleteRangeResponse, LeaseGrantRequest, LeaseGrantResponse, PutRequest, PutResponse, RangeRequest,
+    DeleteRangeResponse, LeaseGrantRequest, LeaseGrantResponse, LeaseKeepAliveRequest,
+    LeaseKeepAliveResponse, LeaseRevokeRequest, LeaseRevokeResponse, PutRequest, PutResponse, RangeRequest,
     RequestOp, StatusRequest, StatusResponse, TxnRequest, TxnResponse, WatchRequest, WatchResponse,
 };
 use mio::net::{TcpListener, TcpStream};
@@ -52,6 +53,8 @@
     CutAfter(usize),
     /// It announces that it goes, and goes.
     GoAway,
+    /// Of the next so many transactions each is carried out, and its connection breaks before the answer.
+    LoseAnswer(u32),
 }
 
 /// What the loop and its owner share.
@@ -59,6 +62,14 @@
     store: Store,
     faults: Vec<Fault>,
     began: Instant,
+    /// Microseconds that its clock was put on.
+    skipped: u64,
+}
+
+impl Shared {
+    fn now(&self) -> u64 {
+        self.began.elapsed().as_micros() as u64 + self.skipped
+    }
 }
 
 /// A running registry. Its thread ends with it.
@@ -86,6 +97,7 @@
             store: Store::new(0x1a2b),
             faults: vec![Fault::None; listeners.len()],
             began: Instant::now(),
+            skipped: 0,
         };
         let (shared, end) = (Arc::new(Mutex::new(shared)), Arc::<AtomicBool>::default());
         let written = Arc::<AtomicU64>::default();
@@ -107,6 +119,14 @@
         what(&mut self.lock().store)
     }
 
+    /// Puts the registry's clock on: leases end as though this time had passed.
+    pub fn skip(&self, time: Duration) {
+        let mut shared = self.lock();
+        shared.skipped += time.as_micros() as u64;
+        let now = shared.now();
+        shared.store.expire(now);
+    }
+
     /// Makes something go wrong at a member, until the next call for it.
     pub fn fault(&self, member: usize, fault: Fault) {
         self.lock().faults[member] = fault;
@@ -212,7 +232,7 @@
             _ => Err(e),
         })?;
         let mut shared = shared.lock().unwrap_or_else(|e| e.into_inner());
-        let now = shared.began.elapsed().as_micros() as u64;
+        let now = shared.now();
         shared.store.expire(now);
         for (member, listener) in listeners.iter().enumerate() {
             while let Ok((mut stream, _)) = listener.accept() {
@@ -229,9 +249,10 @@
             }
         }
         // Every peer has a turn each tick: small, and quick enough for a stand-in.
+        let Shared { store, faults, .. } = &mut *shared;
         peers.retain(|_, peer| {
-            let fault = shared.faults[peer.member];
-            match fault {
+            let fault = &mut faults[peer.member];
+            match *fault {
                 Fault::Down => return false,
                 Fault::Stalled => return true,
                 Fault::CutAfter(bytes) => {
@@ -247,7 +268,7 @@
                 }
                 _ => peer.left.set(None),
             }
-            peer.turn(&mut shared.store, fault, now)
+            peer.turn(store, fault, now)
         });
     }
     Ok(())
@@ -271,7 +292,7 @@
     }
 
     /// Does what can be done; `false`: it is over.
-    fn turn(&mut self, store: &mut Store, fault: Fault, now: u64) -> bool {
+    fn turn(&mut self, store: &mut Store, fault: &mut Fault, now: u64) -> bool {
         let waker = Waker::from(self.asked.clone());
         let mut cx = Context::from_waker(&waker);
         for _ in 0..32 {
@@ -294,13 +315,21 @@
                     Polled::Ready(_) => return false,
                 }
             }
-            let applied = match fault {
+            let applied = match *fault {
                 Fault::Lagging(revision) => revision.min(store.revision),
                 _ => store.revision,
             };
             let member = self.member as u64 + 1;
-            self.calls.retain_mut(|call| !call.turn(&mut cx, store, member, applied, now));
-            self.streams.retain_mut(|stream| stream.turn(&mut cx, store, member, applied, fault));
+            let mut broken = false;
+            self.calls.retain_mut(|call| {
+                let end = call.turn(&mut cx, store, member, applied, now, fault);
+                broken |= end == End::Broken;
+                end == End::Open
+            });
+            if broken {
+                return false;
+            }
+            self.streams.retain_mut(|stream| stream.turn(&mut cx, store, member, applied, *fault));
             if !self.asked.take() {
                 break;
             }
@@ -351,15 +380,39 @@
     }
 }
 
+/// What has become of a call.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum End {
+    Open,
+    Over,
+    /// Its connection breaks before the answer.
+    Broken,
+}
+
 impl Call {
-    /// Answers once the request is whole; `true`: it is over.
-    fn turn(&mut self, cx: &mut Context<'_>, store: &mut Store, member: u64, applied: i64, now: u64) -> bool {
+    /// Answers once the request is whole.
+    fn turn(
+        &mut self,
+        cx: &mut Context<'_>,
+        store: &mut Store,
+        member: u64,
+        applied: i64,
+        now: u64,
+        fault: &mut Fault,
+    ) -> End {
         let message = match pull(cx, &mut self.body, &mut self.bytes) {
-            None => return true,
-            Some(None) => return false,
+            None => return End::Over,
+            Some(None) => return End::Open,
             Some(Some(message)) => message,
         };
         let answer = answer(&self.path, message, store, member, applied, now);
+        if let (Fault::LoseAnswer(left), path::TXN) = (&mut *fault, &*self.path) {
+            *left = left.saturating_sub(1);
+            if *left == 0 {
+                *fault = Fault::None;
+            }
+            return End::Broken;
+        }
         let mut end = HeaderMap::new();
         let (code, text) = answer.as_ref().err().copied().unwrap_or((0, ""));
         end.insert("grpc-status", code.into());
@@ -372,7 +425,7 @@
             }
             let _ = out.send_trailers(end);
         }
-        true
+        End::Over
     }
 }
 
@@ -391,6 +444,9 @@
         path::RANGE => Ok(frame(&store.range(&read::<RangeRequest>(message)?, member, applied)?)),
         path::PUT => {
             let put: PutRequest = read(message)?;
+            if !store.has_lease(put.lease) {
+                return Err(NO_LEASE);
+            }
             store.put(&put.key, &put.value, put.lease);
             Ok(frame(&PutResponse { header: store.header(member, store.revision) }))
         }
@@ -405,7 +461,7 @@
             if txn.success.iter().chain(&txn.failure).any(reads) {
                 return Err((12, "this stand-in reads nothing in transactions"));
             }
-            let succeeded = store.txn(&txn);
+            let succeeded = store.txn(&txn)?;
             Ok(frame(&TxnResponse { header: store.header(member, store.revision), succeeded }))
         }
         path::COMPACT => {
@@ -418,10 +474,22 @@
         }
         path::LEASE_GRANT => {
             let ttl = read::<LeaseGrantRequest>(message)?.ttl.max(1);
-            let id = store.grant(now + ttl as u64 * 1_000_000);
+            let id = store.grant(now, ttl as u64 * 1_000_000);
             let header = store.header(member, applied);
             Ok(frame(&LeaseGrantResponse { header, id, ttl, error: String::new() }))
         }
+        // One call for each word: what follows on the same call is not read.
+        path::LEASE_KEEP_ALIVE => {
+            let id = read::<LeaseKeepAliveRequest>(message)?.id;
+            let ttl = store.keep_alive(now, id).map_or(0, |lasts| (lasts / 1_000_000) as i64);
+            Ok(frame(&LeaseKeepAliveResponse { header: store.header(member, store.revision), id, ttl }))
+        }
+        path::LEASE_REVOKE => {
+            if !store.revoke(read::<LeaseRevokeRequest>(message)?.id) {
+                return Err(NO_LEASE);
+            }
+            Ok(frame(&LeaseRevokeResponse { header: store.header(member, store.revision) }))
+        }
         path::STATUS => {
             read::<StatusRequest>(message)?;
             let version = "3.5.0".to_owned();
--- a/crates/standins/src/registry/store.rs
+++ b/crates/standins/src/registry/store.rs
@@ -1,7 +1,7 @@
 //! The registry's store: keys with revisions, history until it is compacted, leases. No sockets and no clock.
 
 use larchdale::registry::messages::{
-    request_op, Compare, Event, KeyValue, RangeRequest, RangeResponse, ResponseHeader, TxnRequest,
+    request_op, Compare, Event, KeyValue, RangeRequest, RangeResponse, RequestOp, ResponseHeader, TxnRequest,
 };
 use std::collections::BTreeMap;
 
@@ -10,9 +10,25 @@
 /// What a member says that is not there yet.
 pub const FUTURE: (u32, &str) = (11, "etcdserver: mvcc: required revision is a future revision");
 
+/// What a member says of a lease that is not there.
+pub const NO_LEASE: (u32, &str) = (5, "etcdserver: requested lease not found");
+
 /// A code of gRPC with its text.
 pub type Refused = (u32, &'static str);
 
+/// One change that was committed, for checkers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Change {
+    /// Its revision.
+    pub revision: i64,
+    /// The key.
+    pub key: Vec<u8>,
+    /// What it became; `None`: removed.
+    pub value: Option<Vec<u8>>,
+    /// The lease that it ends with; 0: none.
+    pub lease: i64,
+}
+
 /// All versions of all keys.
 #[derive(Clone, Debug, Default)]
 pub struct Store {
@@ -24,8 +40,10 @@
     /// By key, the versions in order; one without a value is a removal.
     keys: BTreeMap<Vec<u8>, Vec<(KeyValue, bool)>>,
     log: Vec<Event>,
-    /// Leases with the moment of their end, in the caller's time.
-    leases: BTreeMap<i64, u64>,
+    /// Leases with the moment of their end and how long they last, in the caller's time.
+    leases: BTreeMap<i64, (u64, u64)>,
+    granted: i64,
+    history: Vec<Change>,
 }
 
 impl Store {
@@ -60,6 +78,12 @@
             (kv.create_revision, kv.version) = (0, 0);
         }
         versions.push((kv.clone(), there));
+        self.history.push(Change {
+            revision: self.revision,
+            key: key.to_vec(),
+            value: there.then(|| kv.value.clone()),
+            lease,
+        });
         self.log.push(Event { kind: i32::from(!there), kv: Some(kv), prev_kv: None });
         true
     }
@@ -79,11 +103,40 @@
         done
     }
 
-    /// Writes or removes as one revision, if the compares hold.
-    pub fn txn(&mut self, txn: &TxnRequest) -> bool {
+    /// All that was committed, in order; compaction drops nothing here.
+    pub fn history(&self) -> &[Change] {
+        &self.history
+    }
+
+    /// Whether a lease may be written with.
+    pub fn has_lease(&self, lease: i64) -> bool {
+        lease == 0 || self.leases.contains_key(&lease)
+    }
+
+    /// Writes or removes as one revision, if the compares hold. Compares versions and revisions.
+    pub fn txn(&mut self, txn: &TxnRequest) -> Result<bool, Refused> {
+        let lacks = |op: &RequestOp| match &op.request {
+            Some(request_op::Request::Put(p)) => !self.has_lease(p.lease),
+            _ => false,
+        };
+        if txn.success.iter().chain(&txn.failure).any(lacks) {
+            return Err(NO_LEASE);
+        }
         let holds = |c: &Compare| {
             let kv = self.get(&c.key, self.revision);
-            c.result == 0 && c.target == 2 && c.mod_revision == Some(kv.map_or(0, |kv| kv.mod_revision))
+            let (has, wanted) = match c.target {
+                0 => (kv.map(|kv| kv.version), c.version),
+                1 => (kv.map(|kv| kv.create_revision), c.create_revision),
+                2 => (kv.map(|kv| kv.mod_revision), c.mod_revision),
+                _ => return false,
+            };
+            let order = has.unwrap_or(0).cmp(&wanted.unwrap_or(0));
+            match c.result {
+                0 => order.is_eq(),
+                1 => order.is_gt(),
+                2 => order.is_lt(),
+                _ => order.is_ne(),
+            }
         };
         let succeeded = txn.compare.iter().all(holds);
         self.revision += 1;
@@ -96,7 +149,7 @@
             };
         }
         self.revision -= i64::from(!wrote);
-        succeeded
+        Ok(succeeded)
     }
 
     /// Drops what was overwritten or removed before a revision.
@@ -111,24 +164,38 @@
         self.log.retain(|e| e.kv.as_ref().is_some_and(|kv| kv.mod_revision >= at));
     }
 
-    /// Makes a lease that ends at a moment.
-    pub fn grant(&mut self, until: u64) -> i64 {
-        let id = self.leases.keys().last().map_or(1, |l| l + 1);
-        self.leases.insert(id, until);
-        id
+    /// Makes a lease that lasts so long. No number is used twice.
+    pub fn grant(&mut self, now: u64, lasts: u64) -> i64 {
+        self.granted += 1;
+        self.leases.insert(self.granted, (now + lasts, lasts));
+        self.granted
+    }
+
+    /// Keeps a lease alive; how long it lasts from now on, if it is there.
+    pub fn keep_alive(&mut self, now: u64, lease: i64) -> Option<u64> {
+        let (until, lasts) = self.leases.get_mut(&lease)?;
+        *until = now + *lasts;
+        Some(*lasts)
+    }
+
+    /// Ends a lease, and the keys with it; `false`: there is none.
+    pub fn revoke(&mut self, lease: i64) -> bool {
+        let there = self.leases.remove(&lease).is_some();
+        let ends =
+            |v: &Vec<(KeyValue, bool)>| v.last().is_some_and(|(kv, there)| *there && kv.lease == lease);
+        let keys: Vec<Vec<u8>> =
+            self.keys.iter().filter(|k| there && ends(k.1)).map(|k| k.0.clone()).collect();
+        for key in keys {
+            self.delete(&key);
+        }
+        there
     }
 
     /// Ends the leases that are over, and the keys with them.
     pub fn expire(&mut self, now: u64) {
-        let over: Vec<i64> = self.leases.iter().filter(|l| *l.1 <= now).map(|l| *l.0).collect();
+        let over: Vec<i64> = self.leases.iter().filter(|l| l.1 .0 <= now).map(|l| *l.0).collect();
         for lease in over {
-            self.leases.remove(&lease);
-            let ends =
-                |v: &Vec<(KeyValue, bool)>| v.last().is_some_and(|(kv, there)| *there && kv.lease == lease);
-            let keys: Vec<Vec<u8>> = self.keys.iter().filter(|k| ends(k.1)).map(|k| k.0.clone()).collect();
-            for key in keys {
-                self.delete(&key);
-            }
+            self.revoke(lease);
         }
     }
 
@@ -205,7 +272,7 @@
         assert_eq!(value(&store, first), Err(COMPACTED));
         assert_eq!(store.changes(b"/", second, 9), Err(second + 1));
         assert!(store.keys.is_empty(), "removed and compacted");
-        let lease = store.grant(50);
+        let lease = store.grant(40, 10);
         store.put(b"/b", b"3", lease);
         store.expire(49);
         assert_eq!(value(&store, 0), Ok(Some(b"3".to_vec())));
--- a/src/cli/registry.rs
+++ b/src/cli/registry.rs
@@ -212,7 +212,13 @@
 
     /// Makes a change if the key is still as it was; says at which revision.
     fn change(&mut self, key: &[u8], was: i64, to: request_op::Request) -> Result<i64, Failure> {
-        let compare = Compare { result: 0, target: 2, key: key.to_vec(), mod_revision: Some(was) };
+        let compare = Compare {
+            result: 0,
+            target: 2,
+            key: key.to_vec(),
+            mod_revision: Some(was),
+            ..Compare::default()
+        };
         let success = vec![RequestOp { request: Some(to) }];
         let request = TxnRequest { compare: vec![compare], success, failure: Vec::new() };
         let answer: TxnResponse = self.ask(path::TXN, &request)?;
--- a/src/registry/messages.rs
+++ b/src/registry/messages.rs
@@ -17,6 +17,8 @@
     pub const WATCH: &str = "/etcdserverpb.Watch/Watch";
     /// Makes a lease.
     pub const LEASE_GRANT: &str = "/etcdserverpb.Lease/LeaseGrant";
+    /// Keeps leases alive.
+    pub const LEASE_KEEP_ALIVE: &str = "/etcdserverpb.Lease/LeaseKeepAlive";
     /// Ends a lease.
     pub const LEASE_REVOKE: &str = "/etcdserverpb.Lease/LeaseRevoke";
     /// Tells what a member is.
@@ -187,6 +189,12 @@
     /// The key.
     #[prost(bytes = "vec", tag = "3")]
     pub key: Vec<u8>,
+    /// The version that is expected; 0: the key is not there. One of these three is set, as `target` tells.
+    #[prost(int64, optional, tag = "4")]
+    pub version: Option<i64>,
+    /// The revision of its making that is expected; 0: the key is not there.
+    #[prost(int64, optional, tag = "5")]
+    pub create_revision: Option<i64>,
     /// The revision of the last change that is expected; 0: the key is not there.
     #[prost(int64, optional, tag = "6")]
     pub mod_revision: Option<i64>,
@@ -367,6 +375,28 @@
     pub error: String,
 }
 
+/// Keeps a lease alive.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct LeaseKeepAliveRequest {
+    /// Its number.
+    #[prost(int64, tag = "1")]
+    pub id: i64,
+}
+
+/// A lease was kept alive, or is not there.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct LeaseKeepAliveResponse {
+    /// The head.
+    #[prost(message, optional, tag = "1")]
+    pub header: Option<ResponseHeader>,
+    /// Its number.
+    #[prost(int64, tag = "2")]
+    pub id: i64,
+    /// Seconds that it lasts from now on; 0: there is no such lease.
+    #[prost(int64, tag = "3")]
+    pub ttl: i64,
+}
+
 /// Ends a lease.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct LeaseRevokeRequest {
--- a/src/registry/mod.rs
+++ b/src/registry/mod.rs
@@ -2,9 +2,12 @@
 //!
 //! [`session`] decides: what to ask whom, what to believe, what follows for the list. [`record`] reads keys and
 //! values, [`messages`] are the interface's own, [`snapshot`] keeps the list on disk, and [`driver`] joins them to
-//! the loop.
+//! the loop. Beside it, [`documents`] keeps what the fleet must agree on for good, and [`lease`] makes one doorman at a
+//! time its planner.
 
+pub mod documents;
 pub mod driver;
+pub mod lease;
 pub mod messages;
 pub mod record;
 pub mod session;
