Shards: map, quiet hours, rebalancing and the planner of moves, as cores

These are the cores without input, output or clock: windows by the wall clock of a time zone (src/placement/quiet.rs), the map with its document, what a doorman follows, which shards to move, and the planner, which makes one move at a time as transactions that compare the revisions of both documents.

Ruled out: homes for all shards in the first map, which would move nearly every copy at once. It has none, so nothing moves, and shards get homes a few a night within the window's limits.

--- /dev/null
+++ b/src/placement/follow.rs
@@ -0,0 +1,131 @@
+//! A doorman follows its zone's map: the last good one stays, and no epoch comes back.
+
+use super::error::PlacementError;
+use super::map::ShardMap;
+use crate::guidance::Home;
+use crate::interface::Id;
+use std::sync::Arc;
+
+/// What is to be said in the log.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Heard {
+    /// A map of a new epoch is applied.
+    Applied(u32),
+    /// The map's key is gone; the map of this epoch stays in force.
+    Deleted(u32),
+    /// The document can't be used; what was in force stays.
+    Unusable(PlacementError),
+    /// The document is of an older epoch, or another one of the same; what is in force stays.
+    NotNewer {
+        /// The epoch in force.
+        held: u32,
+        /// The epoch of the document.
+        came: u32,
+    },
+}
+
+/// One doorman's knowledge of its zone's map.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Follower {
+    zone: u16,
+    map: Option<Arc<ShardMap>>,
+    /// The trouble that was said last: it is not said again while it lasts.
+    said: Option<Heard>,
+}
+
+impl Follower {
+    /// Without a map.
+    pub fn new(zone: u16) -> Self {
+        Follower { zone, map: None, said: None }
+    }
+
+    /// With the map of a snapshot.
+    ///
+    /// # Errors
+    /// As [`ShardMap::decode`]; the doorman then begins without a map.
+    pub fn restore(zone: u16, snapshot: &[u8]) -> Result<Self, PlacementError> {
+        let map = ShardMap::decode(snapshot, zone)?;
+        Ok(Follower { zone, map: Some(Arc::new(map)), said: None })
+    }
+
+    /// What a restart begins with, where a folder is set: checksummed, with the format's number.
+    pub fn snapshot(&self) -> Option<Vec<u8>> {
+        self.map.as_ref().map(|m| m.encode())
+    }
+
+    /// Takes the document as it now stands in the registry; `None`: there is none. Gives what is to be logged: each
+    /// trouble once while it lasts.
+    pub fn take(&mut self, document: Option<&[u8]>) -> Option<Heard> {
+        let held = self.epoch();
+        let said = match document.map(|bytes| ShardMap::decode(bytes, self.zone)) {
+            None => (held > 0).then_some(Heard::Deleted(held)),
+            Some(Err(e)) => Some(Heard::Unusable(e)),
+            Some(Ok(map)) if self.map.as_ref().is_none_or(|m| m.epoch < map.epoch) => {
+                let epoch = map.epoch;
+                self.map = Some(Arc::new(map));
+                self.said = None;
+                return Some(Heard::Applied(epoch));
+            }
+            Some(Ok(map)) if self.map.as_deref() == Some(&map) => {
+                self.said = None;
+                None
+            }
+            Some(Ok(map)) => Some(Heard::NotNewer { held, came: map.epoch }),
+        };
+        let before = std::mem::replace(&mut self.said, said.clone());
+        said.filter(|s| before.as_ref() != Some(s))
+    }
+
+    /// The map in force.
+    pub fn map(&self) -> Option<&Arc<ShardMap>> {
+        self.map.as_ref()
+    }
+
+    /// The epoch applied, for the doorman's note; 0: none.
+    pub fn epoch(&self) -> u32 {
+        self.map.as_ref().map_or(0, |m| m.epoch)
+    }
+
+    /// For the module's guidance (see [`ShardMap::homes`]); empty without a map: the order of the hash.
+    pub fn homes(&self, rate: impl Fn(&Id) -> f64) -> Arc<[Home]> {
+        self.map.as_ref().map_or_else(Arc::default, |m| m.homes(rate))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::super::map::tests::any_map;
+    use super::*;
+    use proptest::prelude::*;
+
+    proptest! {
+        /// Whatever comes, the last good map stays, epochs only grow, and a trouble is said once in a row.
+        #[test]
+        fn the_last_good_map_stays(
+            maps in proptest::collection::vec((any_map(), 0u32..6, 0u8..4), 1..40),
+        ) {
+            let mut follower = Follower::new(3);
+            for (mut map, epoch, fate) in maps {
+                map.epoch = epoch + 1;
+                let before = follower.clone();
+                let mut bytes = map.encode();
+                bytes.truncate(if fate == 0 { 5 } else { bytes.len() });
+                let document = (fate != 1).then_some(&bytes[..]);
+                let said = follower.take(document);
+                if let Some(Heard::Applied(e)) = said {
+                    prop_assert!(e > before.epoch() && fate > 1);
+                    prop_assert_eq!(follower.map().map(|m| m.as_ref()), Some(&map));
+                } else {
+                    prop_assert_eq!(follower.map(), before.map());
+                    prop_assert!(fate > 1 || said.is_some() || before.said.is_some() || before.map().is_none());
+                }
+                prop_assert_eq!(follower.take(document), None, "said once");
+                if let Some(snapshot) = follower.snapshot() {
+                    let again = Follower::restore(3, &snapshot).unwrap();
+                    prop_assert_eq!(again.map(), follower.map());
+                    prop_assert!(Follower::restore(3, &snapshot[1..]).is_err());
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/placement/map.rs
@@ -0,0 +1,285 @@
+//! The map of one zone's shards, as it stands in the registry and at every doorman. Without a map, and for a shard
+//! without a home, the order of the hash decides.
+
+use super::document::{decode, encode, Kind};
+use super::error::PlacementError;
+use super::moves::Change;
+use crate::guidance::{Home, Warming};
+use crate::interface::Id;
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+
+/// Most shards of a map, whatever the settings.
+pub const MOST_SHARDS: usize = 10_000;
+/// Longest name of a box, in bytes.
+pub const LONGEST_NAME: usize = 255;
+const KIND: Kind = Kind(b'M', "map of shards");
+
+/// One shard: from `start` up to where the next one begins.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Shard {
+    /// Where it begins.
+    pub start: u64,
+    /// The box that its objects go to first; `None`: the order of the hash.
+    pub home: Option<Id>,
+    /// Its next home, which is being warmed.
+    pub warming: Option<Id>,
+}
+
+/// The shards of a zone at one epoch.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct ShardMap {
+    /// The zone's number in the settings.
+    pub zone: u16,
+    /// Grows with every change.
+    pub epoch: u32,
+    /// In order of their starts; the first begins at 0.
+    pub shards: Vec<Shard>,
+}
+
+/// As written: boxes by their place in a list of names, starts by their distance.
+#[derive(Deserialize, Serialize)]
+struct Written {
+    zone: u16,
+    epoch: u32,
+    names: Vec<Id>,
+    shards: Vec<(u64, Option<u16>, Option<u16>)>,
+}
+
+/// What may go to one box for warming, in KB a second over all doormans: `warm` of the link, and no more than the box
+/// has to spare.
+pub fn warm_kb_s(warm: f64, link_kb_s: f64, spare_kb_s: f64) -> f64 {
+    (warm * link_kb_s).min(spare_kb_s).max(0.0)
+}
+
+impl ShardMap {
+    /// Equal shards without homes: all is as without a map.
+    pub fn first(zone: u16, epoch: u32, shards: usize) -> Self {
+        let many = shards.clamp(1, MOST_SHARDS) as u128;
+        let start = |n: u128| ((n << 64) / many) as u64;
+        let shard = |n| Shard { start: start(n), home: None, warming: None };
+        ShardMap { zone, epoch, shards: (0..many).map(shard).collect() }
+    }
+
+    fn check(&self) -> Result<(), PlacementError> {
+        let rule = |holds: bool, why| holds.then_some(()).ok_or(PlacementError::Broken { what: KIND.1, why });
+        let names = || self.shards.iter().flat_map(|s| [&s.home, &s.warming]).flatten();
+        rule(self.shards.first().is_some_and(|s| s.start == 0), "no shard begins at 0")?;
+        rule(self.shards.len() <= MOST_SHARDS, "too many shards")?;
+        rule(self.shards.windows(2).all(|p| p[0].start < p[1].start), "starts do not ascend")?;
+        rule(names().all(|n| !n.is_empty() && n.len() <= LONGEST_NAME), "a box's name is empty or too long")?;
+        rule(
+            self.shards.iter().all(|s| s.warming.is_none() || s.warming != s.home),
+            "a shard moves to its home",
+        )
+    }
+
+    /// Its document.
+    pub fn encode(&self) -> Vec<u8> {
+        let boxes = self.shards.iter().flat_map(|s| [&s.home, &s.warming]).flatten();
+        let mut names: Vec<Id> = boxes.cloned().collect();
+        names.sort_unstable();
+        names.dedup();
+        let place = |name: &Option<Id>| Some(names.binary_search(name.as_ref()?).ok()? as u16);
+        let mut before = 0;
+        let shard = |s: &Shard| {
+            let distance = s.start.saturating_sub(before);
+            before = s.start;
+            (distance, place(&s.home), place(&s.warming))
+        };
+        let shards = self.shards.iter().map(shard).collect();
+        encode(KIND, &Written { zone: self.zone, epoch: self.epoch, names, shards })
+    }
+
+    /// Reads the document of a zone's map.
+    ///
+    /// # Errors
+    /// [`PlacementError::Torn`], [`PlacementError::Format`], and [`PlacementError::Broken`] for a map that does not
+    /// cover the space once, or is of another zone.
+    pub fn decode(bytes: &[u8], zone: u16) -> Result<ShardMap, PlacementError> {
+        let broken = |why| PlacementError::Broken { what: KIND.1, why };
+        let written: Written = decode(KIND, bytes)?;
+        if written.zone != zone {
+            return Err(broken("it is of another zone"));
+        }
+        let name = |place: Option<u16>| match place {
+            None => Ok(None),
+            Some(p) => {
+                written.names.get(usize::from(p)).cloned().map(Some).ok_or(broken("a box has no name"))
+            }
+        };
+        let mut start = 0u64;
+        let mut shards = Vec::new();
+        for (distance, home, warming) in &written.shards {
+            start = start.checked_add(*distance).ok_or(broken("starts go past the space"))?;
+            shards.push(Shard { start, home: name(*home)?, warming: name(*warming)? });
+        }
+        let map = ShardMap { zone, epoch: written.epoch, shards };
+        map.check().map(|()| map)
+    }
+
+    /// The place of the shard that begins there.
+    pub fn find(&self, start: u64) -> Option<usize> {
+        self.shards.binary_search_by_key(&start, |s| s.start).ok()
+    }
+
+    /// For the module's guidance; `rate` gives how much of warming this doorman may send a box, in transfers at full
+    /// pace (its part of [`warm_kb_s`]).
+    pub fn homes(&self, rate: impl Fn(&Id) -> f64) -> Arc<[Home]> {
+        let warming = |to: &Id| Warming { to: to.clone(), rate: rate(to) };
+        let home = |s: &Shard| Home {
+            start: s.start,
+            home: s.home.clone(),
+            warming: s.warming.as_ref().map(warming),
+        };
+        self.shards.iter().map(home).collect()
+    }
+
+    /// Whether [`ShardMap::split`] can be made; gives the shard's place.
+    fn splits(&self, start: u64, at: u64, most: usize) -> Result<usize, PlacementError> {
+        let no = |why| PlacementError::Change { start, why };
+        let place = self.find(start).ok_or(no("there is none"))?;
+        if self.shards[place].warming.is_some() {
+            return Err(no("it moves"));
+        }
+        if at <= start || self.shards.get(place + 1).is_some_and(|next| at >= next.start) {
+            return Err(no("the place of the cut is not within it"));
+        }
+        if self.shards.len() >= most.min(MOST_SHARDS) {
+            return Err(no("there are as many shards as may be; raise most in shards()"));
+        }
+        Ok(place)
+    }
+
+    /// Whether [`ShardMap::merge`] can be made; gives the first one's place.
+    fn merges(&self, start: u64, next: u64) -> Result<usize, PlacementError> {
+        let no = |why| PlacementError::Change { start, why };
+        let place = self.find(start).ok_or(no("there is none"))?;
+        let this = &self.shards[place];
+        let next =
+            self.shards.get(place + 1).filter(|s| s.start == next).ok_or(no("its neighbour is another"))?;
+        if this.home != next.home {
+            return Err(no("its neighbour has another home"));
+        }
+        if this.warming.is_some() || next.warming.is_some() {
+            return Err(no("it or its neighbour moves"));
+        }
+        Ok(place)
+    }
+
+    /// Splits the shard that begins at `start` in two at `at`. Both keep its home: no data moves.
+    ///
+    /// # Errors
+    /// [`PlacementError::Change`]: no such shard, it moves, `at` is not within it, or there would be over `most`.
+    pub fn split(&mut self, start: u64, at: u64, most: usize) -> Result<(), PlacementError> {
+        let place = self.splits(start, at, most)?;
+        let second = Shard { start: at, ..self.shards[place].clone() };
+        self.shards.insert(place + 1, second);
+        Ok(())
+    }
+
+    /// Makes the shard that begins at `start` one with its neighbour, which begins at `next` and has the same home:
+    /// no data moves.
+    ///
+    /// # Errors
+    /// [`PlacementError::Change`]: no such neighbours, other homes, or one of them moves.
+    pub fn merge(&mut self, start: u64, next: u64) -> Result<(), PlacementError> {
+        let place = self.merges(start, next)?;
+        self.shards.remove(place + 1);
+        Ok(())
+    }
+
+    /// Whether a wish still makes sense: `Ok(false)` if it is done.
+    pub(super) fn wants(&self, wish: &Change, most: usize) -> Result<bool, PlacementError> {
+        match *wish {
+            Change::Split { at, .. } if self.find(at).is_some() => Ok(false),
+            Change::Split { start, at, .. } => self.splits(start, at, most).map(|_| true),
+            Change::Merge { next, .. } if self.find(next).is_none() => Ok(false),
+            Change::Merge { start, next } => self.merges(start, next).map(|_| true),
+        }
+    }
+}
+
+#[cfg(test)]
+pub(super) mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    /// Maps as they may be.
+    pub fn any_map() -> impl Strategy<Value = ShardMap> {
+        let boxes = proptest::collection::vec((any::<u64>(), 0u8..5, 0u8..9), 1..40);
+        (boxes, any::<u32>()).prop_map(|(shards, epoch)| {
+            let name = |n: u8| (n < 4).then(|| Id::from(format!("box{n}")));
+            let shard = |(start, home, to): (u64, u8, u8)| {
+                let warming = name(to).filter(|_| to != home);
+                Shard { start, home: name(home), warming }
+            };
+            let mut shards: Vec<Shard> = shards.into_iter().map(shard).collect();
+            shards.sort_by_key(|s| s.start);
+            shards[0].start = 0;
+            shards.dedup_by_key(|s| s.start);
+            ShardMap { zone: 3, epoch, shards }
+        })
+    }
+
+    proptest! {
+        /// What is written is read; anything else is refused, and nothing panics.
+        #[test]
+        fn a_map_is_read_as_written_or_not_at_all(map in any_map(), at in any::<usize>(), bit in 0u8..8) {
+            let bytes = map.encode();
+            let read = ShardMap::decode(&bytes, 3);
+            prop_assert_eq!(read.as_ref(), Ok(&map));
+            prop_assert!(ShardMap::decode(&bytes, 4).is_err());
+            prop_assert!(ShardMap::decode(&bytes[..at % bytes.len()], 3).is_err());
+            let mut bad = bytes.clone();
+            bad[at % bytes.len()] ^= 1 << bit;
+            prop_assert!(ShardMap::decode(&bad, 3).is_err());
+        }
+
+        /// With a right checksum, any body gives a map that covers the space once, or an error.
+        #[test]
+        fn any_body_is_a_right_map_or_refused(body in proptest::collection::vec(any::<u8>(), 0..200)) {
+            let mut bytes = vec![KIND.0, 1];
+            bytes.extend(crc32fast::hash(&body).to_be_bytes());
+            bytes.extend(body);
+            if let Ok(map) = ShardMap::decode(&bytes, 3) {
+                prop_assert_eq!(map.check(), Ok(()));
+            }
+        }
+
+        /// Neither moves data: each place has the home that it had.
+        #[test]
+        fn splits_and_merges_keep_every_home(
+            map in any_map(),
+            changes in proptest::collection::vec((any::<prop::sample::Index>(), any::<u64>(), any::<bool>()), 1..30),
+        ) {
+            let mut changed = map.clone();
+            for (which, at, split) in changes {
+                let place = which.index(changed.shards.len());
+                let start = changed.shards[place].start;
+                let next = changed.shards.get(place + 1).map_or(at, |s| s.start);
+                let _ = if split { changed.split(start, at, 60) } else { changed.merge(start, next) };
+                prop_assert_eq!(changed.check(), Ok(()));
+                prop_assert!(changed.shards.len() <= 60);
+                let of = |m: &ShardMap, p: u64| m.shards[m.shards.partition_point(|s| s.start <= p) - 1].clone();
+                for p in map.shards.iter().map(|s| s.start).chain([at, start]) {
+                    let (a, b) = (of(&map, p), of(&changed, p));
+                    prop_assert_eq!((a.home, a.warming), (b.home, b.warming));
+                }
+            }
+        }
+    }
+
+    #[test]
+    fn a_newer_format_is_told_as_such_and_the_largest_map_fits_a_transaction() {
+        let mut bytes = ShardMap::first(3, 1, 4).encode();
+        bytes[1] = 2;
+        let told = ShardMap::decode(&bytes, 3);
+        assert!(matches!(told, Err(PlacementError::Format { format: 2, known: 1, .. })), "{told:?}");
+        let mut map = ShardMap::first(3, 1, MOST_SHARDS);
+        for (n, shard) in map.shards.iter_mut().enumerate() {
+            shard.home = Some(format!("a-box-with-a-long-name-{}", n % 200).into());
+        }
+        assert_eq!(ShardMap::decode(&map.encode(), 3), Ok(map));
+    }
+}
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -2,7 +2,14 @@
 //! follow it, and one of them, the planner, changes it. Cores without input, output or clock; the driver is
 //! `net/doorman/fleet.rs`.
 
+mod document;
+pub mod error;
+pub mod follow;
+pub mod map;
+pub mod moves;
+pub mod planner;
 pub mod quiet;
+pub mod rebalance;
 
 use crate::interface::Time;
 use std::net::SocketAddr;
