--- a/src/guidance.rs
+++ b/src/guidance.rs
@@ -22,13 +22,15 @@
     pub rate: f64,
 }
 
-/// A shard that is warmed at its next home: some of its requests go there and are filled from the present home.
+/// A shard that is warmed at its next home: some of its requests go there, and are filled from the present home.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Warming {
     /// The next home.
     pub to: Id,
     /// Transfers at full pace that may go there for warming, by this doorman.
     pub rate: f64,
+    /// A cache may be the source of another's fill. If not, or without a present home, parents are.
+    pub lateral: bool,
 }
 
 /// One shard: from here in the space of objects up to where the next one begins.
@@ -176,8 +178,7 @@
         if let Some(account) = self.fills.get_mut(request.class).filter(|_| source.is_some()) {
             account.book(now, window, work);
         }
-        let warming = self.shard(request.object).filter(|s| source.is_some() && s.home.as_ref() == source);
-        if warming.and_then(|s| s.warming.as_ref()).is_some_and(|w| w.to == *to) {
+        if self.shard(request.object).and_then(|s| s.warming.as_ref()).is_some_and(|w| w.to == *to) {
             self.warming.entry(to.clone()).or_default().book(now, window, work);
         }
     }
@@ -209,14 +210,14 @@
     }
 
     /// Where this request of an object goes for warming, if its turn has come, and the home that fills it.
-    pub fn warms(&self, now: Time, object: u64, work: f64) -> Option<(&Id, &Id)> {
+    pub fn warms(&self, now: Time, object: u64, work: f64) -> Option<(&Id, Option<&Id>)> {
         let shard = self.shard(object)?;
         let warming = shard.warming.as_ref()?;
         let (window, none) = (self.window(), Account::default());
         let account = self.warming.get(&warming.to).unwrap_or(&none);
         let budget = warming.rate * window as f64;
         let turn = account.has_room(now, window, budget, work, self.since);
-        Some((&warming.to, shard.home.as_ref()?)).filter(|_| turn)
+        turn.then(|| (&warming.to, shard.home.as_ref().filter(|_| warming.lateral)))
     }
 }
 
@@ -297,13 +298,13 @@
 
     #[test]
     fn warming_takes_its_part_and_no_more() {
-        let warming = Some(Warming { to: "b".into(), rate: 0.5 });
+        let warming = Some(Warming { to: "b".into(), rate: 0.5, lateral: true });
         let homes = [Home { start: 0, home: Some("a".into()), warming }].into();
         let mut guide = guide(Guidance { homes, ..Guidance::default() });
         let (request, mut sent) = (Request { object: 7, ..Request::default() }, 0);
         for now in (S..S + 10 * S).step_by(1_000) {
-            if let Some((to, home)) = guide.warms(now, 7, 100_000.0).map(|w| (w.0.clone(), w.1.clone())) {
-                guide.filling(now, &request, 100_000.0, &to, Some(&home));
+            if let Some((to, home)) = guide.warms(now, 7, 100_000.0).map(|w| (w.0.clone(), w.1.cloned())) {
+                guide.filling(now, &request, 100_000.0, &to, home.as_ref());
                 sent += 1;
             }
         }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -284,8 +284,8 @@
             }
         }
         for (role, list) in [(Role::Cache, 0), (Role::Parent, 1), (Role::Origin, 2)] {
-            let here = |m: &Member| m.zone == self.settings.zone || self.guide.beyond(&m.id);
-            let near = |m: &Member| role != Role::Cache || here(m);
+            let near =
+                |m: &Member| role != Role::Cache || m.zone == self.settings.zone || self.guide.beyond(&m.id);
             let serves = |m: &Member| m.role == role && m.listed == Listed::Healthy && near(m);
             let all = self.servers.iter().enumerate();
             self.serving[list] = all.filter(|s| serves(&s.1.member)).map(|s| s.0).collect();
@@ -406,12 +406,14 @@
             .or_else(|| it.find(|&s| allowed(s)).filter(|_| !order.iter().any(|&s| self.usable(s))))
     }
 
-    /// A request whose turn it is to warm a shard's next home: that one, and the present one as its source.
+    /// A request whose turn it is to warm a shard's next home: that one, and as its source the present home.
     fn warming(&self, open: &Open) -> Option<(usize, usize)> {
         let (to, from) = self.guide.warms(self.now, open.request.object, open.work)?;
-        let pair = (*self.by_id.get(to)?, *self.by_id.get(from)?);
-        let fits = |s| self.serving(Role::Cache).contains(&s) && self.usable(s) && self.cold_room(s, open);
-        (open.attempts == 0 && fits(pair.0) && fits(pair.1) && self.has_room(pair.0)).then_some(pair)
+        let place = |id| self.by_id.get(id).copied();
+        let fits =
+            |&s: &usize| self.serving(Role::Cache).contains(&s) && self.usable(s) && self.cold_room(s, open);
+        let to = place(to).filter(|s| open.attempts == 0 && fits(s) && self.has_room(*s))?;
+        Some((to, from.and_then(place).filter(fits).or_else(|| self.pick_source(open))?))
     }
 
     fn pick_source(&self, open: &Open) -> Option<usize> {
@@ -666,7 +668,8 @@
             return self.pick_origin(open).map(|origin| (origin, None, None));
         }
         if let Some((to, from)) = self.warming(open) {
-            return Some((to, Some(from), Some(self.fetch(open, class, from, true))));
+            let held_only = self.servers[from].member.role == Role::Cache;
+            return Some((to, Some(from), Some(self.fetch(open, class, from, held_only))));
         }
         // Danger: past what links and sources can bring, all fills come late and hold the caches' places.
         // Then a request only looks: what is held is still served, the rest is refused at once.
--- a/src/management/mod.rs
+++ b/src/management/mod.rs
@@ -147,7 +147,7 @@
 }
 
 /// What is looked up when the figures are asked for.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Gauges {
     /// Depots in the list.
     pub targets: usize,
@@ -155,6 +155,8 @@
     pub avoided: usize,
     /// What this doorman sees of the others, where they talk to each other.
     pub peers: Option<PeerFigures>,
+    /// What the fleet does as one, by name, where that is on.
+    pub fleet: Vec<(&'static str, u64)>,
 }
 
 /// What a doorman sees of the others of its fleet.
@@ -238,6 +240,9 @@
         for (name, value) in gauges.peers.iter().flat_map(PeerFigures::lines) {
             line(name, "", value);
         }
+        for (name, value) in &gauges.fleet {
+            line(name, "", *value);
+        }
         text.push_str("end\n");
         text
     }
--- a/src/management/tests.rs
+++ b/src/management/tests.rs
@@ -48,7 +48,7 @@
     figures.took();
     assert_eq!(figures.class("images"), plain);
     assert_ne!(odd, plain);
-    let text = figures.render(Gauges { targets: 7, avoided: 2, peers: None });
+    let text = figures.render(Gauges { targets: 7, avoided: 2, peers: None, fleet: Vec::new() });
     let want = "proxy_replies_total{type=\"a\\\"b\\\\c\\nd\",status=\"success\"} 0\n\
         proxy_replies_total{type=\"a\\\"b\\\\c\\nd\",status=\"overload\"} 0\n\
         proxy_replies_total{type=\"a\\\"b\\\\c\\nd\",status=\"error\"} 0\n\
@@ -60,9 +60,14 @@
     assert_eq!(text, want);
     let peers =
         Some(PeerFigures { by_state: [3, 1, 2, 0], dropped: 4, strangers: 1, ..PeerFigures::default() });
-    let text = figures.render(Gauges { targets: 7, avoided: 2, peers });
+    let text = figures.render(Gauges { targets: 7, avoided: 2, peers, fleet: vec![("site_plan", 7)] });
     let more = text.strip_prefix(want.trim_end_matches("end\n")).unwrap();
-    for line in ["peers{state=\"alive\"} 3", "peers{state=\"dead\"} 2", "peer_datagrams_dropped_total 5"] {
+    for line in [
+        "peers{state=\"alive\"} 3",
+        "peers{state=\"dead\"} 2",
+        "peer_datagrams_dropped_total 5",
+        "site_plan 7",
+    ] {
         assert!(more.contains(&format!("proxy_{line}\n")) && more.ends_with("\nend\n"), "{line} in {more}");
     }
 }
--- a/src/net/doorman.rs
+++ b/src/net/doorman.rs
@@ -4,12 +4,14 @@
 
 mod clients;
 mod copies;
+mod fleet;
 mod handover;
 mod inbound;
 mod lifecycle;
 mod management;
 mod news;
 mod peers;
+mod shards;
 #[cfg(test)]
 mod tests;
 mod upkeep;
@@ -119,8 +121,9 @@
     Accept,
     /// The registry's driver wanted a turn at this moment.
     Registry(Time),
-    /// The view of the fleet wanted one.
+    /// The view of the fleet wanted one, and what the fleet does as one.
     Peers(Time),
+    Fleet(Time),
     DrainEnd,
 }
 
@@ -253,6 +256,7 @@
     counts: Counts,
     door: Option<Door>,
     peers: Option<Box<peers::Peers>>,
+    fleet: Option<Box<fleet::Fleet>>,
     handover: Option<Handover>,
     /// All that the module has heard.
     #[cfg(test)]
@@ -322,6 +326,7 @@
             counts: Counts::default(),
             door: None,
             peers: None,
+            fleet: None,
             handover,
             #[cfg(test)]
             told: Vec::new(),
@@ -338,6 +343,7 @@
         doorman.meet_peers(config.peering, config.seed);
         if let Some((path, product)) = product {
             doorman.product_path = Some(path);
+            doorman.meet_fleet(&product, config.seed).map_err(io::Error::other)?;
             if let Some(registry) = product.registry {
                 let s = &doorman.settings;
                 let names = Names { kinds: s.kinds.clone(), zones: s.failure_domains.clone() };
@@ -427,7 +433,7 @@
                 registry.ready(event);
             }
             self.tend_registry();
-        } else if !self.peers_ready(event.token) {
+        } else if !self.peers_ready(event.token) && !self.shards_ready(event) {
             self.link_ready(event);
         }
         self.settle();
@@ -462,6 +468,7 @@
                 self.tend_registry();
             }
             Due::Peers(at) => self.peers_due(at),
+            Due::Fleet(at) => self.fleet_turn(at),
             Due::DrainEnd => self.end_drain(),
         }
     }
--- /dev/null
+++ b/src/net/doorman/fleet.rs
@@ -0,0 +1,385 @@
+//! What the doormans do as one, joined to the loop: the judgement of sites, their plans, and shards. Evidence, notes
+//! and the list go in; guidance to the module, this doorman's own note and log lines come out. Nothing is decided here.
+
+use super::shards::Shards;
+use super::*;
+use crate::guidance::Guidance;
+use crate::interface::{Member, Role};
+use crate::placement::error::PlacementError;
+use crate::sites::inputs::inputs;
+use crate::sites::judge::{Action as Judged, Judge};
+use crate::sites::note::Note as Said;
+use crate::sites::plan::guide::Asked;
+use crate::sites::plan::{Maker, Plans};
+use crate::sites::{pace, Settings, State as Held, Zone};
+use std::sync::Arc;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Between two turns at most: notes of others are read then.
+const TURN: Time = 250 * MS;
+/// An unchanged note is said again, with the clock as it then is.
+const SAY_AGAIN: Time = 1_000 * MS;
+/// What all doormans together send one server of a lost site, in transfers: some small request a second.
+const TRIAL: f64 = 0.2;
+
+/// A peer's note as it was last heard: from whom, how long ago it was written, and what it says.
+pub(super) type Heard = (u16, Time, Said);
+
+/// The sites of one doorman.
+struct Sites {
+    settings: Settings,
+    /// How many zones there are; the judgement has one more, for the archive.
+    zones: usize,
+    judge: Judge,
+    /// The servers that plans are made with: those listed, and of a site that does not plainly serve all it had.
+    planned: FxHashMap<Id, Member>,
+    /// The list or the settings have changed; plans are made anew from then on.
+    replan: Option<Time>,
+    maker: Option<Maker>,
+    plans: Option<Plans>,
+    /// The numbers of peers' plans that differ from this one's, as last told.
+    differ: usize,
+}
+
+/// What this doorman does with the others.
+pub(super) struct Fleet {
+    zone: Zone,
+    members: FxHashMap<Id, Member>,
+    sites: Option<Sites>,
+    pub(super) shards: Option<Box<Shards>>,
+    guidance: Arc<Guidance>,
+    due: Option<Time>,
+    /// The note that was said last, without its clock, and when.
+    said: Option<(Said, Time)>,
+    /// Changes of what is held of sites, by the state that they led to.
+    judged: [u64; 4],
+}
+
+fn state(held: Held) -> usize {
+    match held {
+        Held::Serving => 0,
+        Held::Doubtful => 1,
+        Held::Lost => 2,
+        Held::Returning { .. } => 3,
+    }
+}
+
+impl Fleet {
+    /// What is held of a zone.
+    pub(super) fn site(&self, zone: Zone) -> Held {
+        self.sites.as_ref().map_or(Held::Serving, |s| s.judge.state(zone))
+    }
+
+    /// All servers of the list.
+    pub(super) fn members(&self) -> impl Iterator<Item = &Member> {
+        self.members.values()
+    }
+
+    /// For the door: names and values.
+    pub(super) fn figures(&self) -> Vec<(&'static str, u64)> {
+        let mut figures = Vec::new();
+        if let Some(sites) = &self.sites {
+            let [_, doubtful, lost, returning] = self.judged;
+            figures.extend([
+                ("site_doubts_total", doubtful),
+                ("site_losses_total", lost),
+                ("site_return_steps_total", returning),
+                ("site_plan", sites.plans.as_ref().map_or(0, |p| u64::from(p.number()))),
+                ("site_plans_that_differ", sites.differ as u64),
+                ("site_bounds", self.guidance.bounds.len() as u64),
+            ]);
+        }
+        if let Some(shards) = &self.shards {
+            figures.extend(shards.figures());
+        }
+        figures
+    }
+}
+
+impl Sites {
+    /// The zone that a server tells of. The archive is no part of the site that it stands in: it is lost with none.
+    fn zone_of(&self, member: &Member) -> Zone {
+        if member.role == Role::Origin {
+            self.zones
+        } else {
+            member.zone
+        }
+    }
+
+    /// Takes the list as it now is. A server that left a site in trouble stays in its plans: the loss is not over.
+    fn listed(&mut self, now: Time, members: &FxHashMap<Id, Member>) {
+        let seen = |m: &Member| (xxh3_64(m.id.as_bytes()), self.zone_of(m), m.listed == Listed::Healthy);
+        let all: Vec<_> = members.values().map(seen).collect();
+        self.judge.listed(now, all);
+        let went = self.planned.keys().any(|id| members.get(id).is_none_or(|m| m.listed != Listed::Healthy));
+        let at = now + if went { self.settings.lost } else { 0 };
+        self.replan = Some(self.replan.map_or(at, |r| r.min(at)));
+    }
+
+    /// Begins new plans where they are due, and solves one program a turn. Whether there are new ones.
+    fn plan(&mut self, doorman: &Doorman, members: &FxHashMap<Id, Member>) -> bool {
+        let now = doorman.now;
+        if self.replan.is_some_and(|at| at <= now) {
+            self.replan = None;
+            let judge = &self.judge;
+            self.planned.retain(|_, m| judge.state(m.zone) != Held::Serving);
+            let healthy = members.values().filter(|m| m.listed == Listed::Healthy);
+            self.planned.extend(healthy.map(|m| (m.id.clone(), m.clone())));
+            let servers: Vec<Member> = self.planned.values().cloned().collect();
+            let worth: Vec<f64> = doorman.settings.classes.iter().map(|c| c.worth).collect();
+            match Maker::new(&inputs(&doorman.settings.for_router(), &worth, &servers, &self.settings)) {
+                Ok(maker) => self.maker = Some(maker),
+                Err(e) => warn!(doorman.log, "no plans for the loss of a site"; "why" => %e),
+            }
+        }
+        let Some(plans) = self.maker.as_mut().and_then(Maker::step) else { return false };
+        self.maker = None;
+        info!(doorman.log, "plans for the loss of a site"; "number" => plans.number(), "servers" => self.planned.len());
+        self.plans = Some(plans);
+        true
+    }
+}
+
+impl Doorman {
+    /// Begins what the product's settings ask of the fleet as one.
+    pub(super) fn meet_fleet(&mut self, product: &Product, seed: u64) -> Result<(), PlacementError> {
+        product.calendar.check(&self.settings.failure_domains)?;
+        let (zone, zones) = (self.settings.zone, self.settings.failure_domains.len());
+        let sites = product.site_plan.clone().map(|settings| Sites {
+            judge: Judge::new(settings.clone(), zone, zones + 1, seed, self.now),
+            settings,
+            zones,
+            planned: FxHashMap::default(),
+            replan: None,
+            maker: None,
+            plans: None,
+            differ: 0,
+        });
+        let shards = product.shards.is_some().then(|| Box::new(Shards::new(self, product, seed)));
+        if sites.is_none() && shards.is_none() {
+            return Ok(());
+        }
+        let mut fleet = Fleet {
+            zone,
+            members: FxHashMap::default(),
+            sites,
+            shards,
+            guidance: Arc::default(),
+            due: None,
+            said: None,
+            judged: [0; 4],
+        };
+        if let Some(sites) = &mut fleet.sites {
+            let ramps = |z| (z, self.ramp());
+            sites.judge.ramps((0..zones).map(ramps));
+            info!(self.log, "plans for the loss of a site are on"; "zones" => zones, "steps" => sites.settings.steps);
+        }
+        self.fleet = Some(Box::new(fleet));
+        Ok(())
+    }
+
+    /// Takes over what other settings change: all but whether a part is on, and where the registry is.
+    pub(super) fn fleet_reload(&mut self, product: &Product) {
+        let (sites, shards) =
+            self.fleet.as_ref().map_or((false, false), |f| (f.sites.is_some(), f.shards.is_some()));
+        if (sites, shards) != (product.site_plan.is_some(), product.shards.is_some()) {
+            warn!(self.log, "takes a restart to change"; "what" => "whether site_plan() and shards() are set");
+        }
+        if let Err(e) = product.calendar.check(&self.settings.failure_domains) {
+            return warn!(self.log, "hours of the shards stay as they are"; "why" => %e);
+        }
+        let Some(fleet) = &mut self.fleet else { return };
+        if let (Some(sites), Some(new)) = (&mut fleet.sites, &product.site_plan) {
+            // What changes by it is seen at the next turn, from the states themselves.
+            sites.judge.reconfigure(new.clone(), &mut Vec::new());
+            (sites.settings, sites.replan) = (new.clone(), Some(self.now));
+        }
+        if let (Some(shards), Some(new)) = (&mut fleet.shards, &product.shards) {
+            if !shards.reconfigure(new, &product.calendar) {
+                warn!(self.log, "takes a restart to change"; "what" => "endpoints, prefix, lease or snapshot of shards()");
+            }
+        }
+        self.fleet_due(self.now);
+    }
+
+    /// How long the servers of a zone take to warm up.
+    fn ramp(&self) -> Time {
+        self.settings.rules.warm_within_us.max(self.settings.domain.parent_ramp_us)
+    }
+
+    /// The list has changed.
+    pub(super) fn fleet_listed(&mut self, members: &[Member]) {
+        let Some(fleet) = &mut self.fleet else { return };
+        for member in members {
+            match member.listed {
+                Listed::Gone => drop(fleet.members.remove(&member.id)),
+                _ => drop(fleet.members.insert(member.id.clone(), member.clone())),
+            }
+        }
+        if let Some(sites) = &mut fleet.sites {
+            sites.listed(self.now, &fleet.members);
+        }
+        self.fleet_due(self.now);
+    }
+
+    /// An attempt has ended; what it tells of the site that it went to, and of the one that it was filled from.
+    pub(super) fn fleet_attempt(&mut self, depot: &Id, source: Option<&Id>, code: Code, note: Note) {
+        use crate::sites::End;
+        let Some(fleet) = &mut self.fleet else { return };
+        let Some(sites) = &mut fleet.sites else { return };
+        let server = match code {
+            Code::Served | Code::Miss | Code::Full | Code::Error => Some(End::InTime),
+            Code::TimedOut => Some(End::Silent),
+            Code::ConnectFailed => Some(End::Refused),
+            Code::Reset => Some(End::Reset),
+            Code::Cancelled | Code::NeverSent => None,
+        };
+        // Of a source the answer alone tells: what was filled came from there, what failed may have.
+        let filled = matches!(note, Note::Filled | Note::Joined);
+        let from = match code {
+            Code::Served if filled => Some(End::InTime),
+            Code::Error | Code::TimedOut => Some(End::Silent),
+            _ => None,
+        };
+        for (id, end) in [(Some(depot), server), (source.filter(|s| *s != depot), from)] {
+            let Some((member, end)) = id.and_then(|id| fleet.members.get(id)).zip(end) else { continue };
+            let zone = sites.zone_of(member);
+            sites.judge.attempt(self.now, xxh3_64(member.id.as_bytes()), zone, end);
+        }
+        let next = sites.judge.next();
+        self.fleet_due(next);
+    }
+
+    /// Asks for a turn at a moment, or at the usual one if that is earlier.
+    pub(super) fn fleet_due(&mut self, at: Time) {
+        let Some(fleet) = &mut self.fleet else { return };
+        let at = at.clamp(self.now, self.now + TURN);
+        if fleet.due.is_none_or(|d| at < d) {
+            fleet.due = Some(at);
+            self.timers.set(at, Due::Fleet(at));
+        }
+    }
+
+    pub(super) fn fleet_turn(&mut self, at: Time) {
+        let Some(mut fleet) = self.fleet.take_if(|f| f.due == Some(at)) else { return };
+        fleet.due = None;
+        let heard = self.heard_notes();
+        let changed = self.judge_sites(&mut fleet, &heard);
+        let moved = match fleet.shards.take() {
+            Some(mut shards) => {
+                let moved = shards.turn(self, &fleet, &heard);
+                fleet.shards = Some(shards);
+                moved
+            }
+            None => false,
+        };
+        if changed || moved {
+            self.guide(&mut fleet, &heard);
+        }
+        self.say_note(&mut fleet);
+        let soon = fleet.sites.as_ref().is_some_and(|s| s.maker.is_some());
+        let next = fleet.sites.as_ref().map_or(Time::MAX, |s| s.judge.next());
+        let next = next.min(fleet.shards.as_ref().map_or(Time::MAX, |s| s.next()));
+        self.fleet = Some(fleet);
+        self.fleet_due(if soon { self.now } else { next.max(self.now + MS) });
+    }
+
+    /// Lets the judgement and the plans go on; whether the guidance may have changed.
+    fn judge_sites(&mut self, fleet: &mut Fleet, heard: &[Heard]) -> bool {
+        let Some(sites) = &mut fleet.sites else { return false };
+        let (mut actions, learnt) = (Vec::new(), sites.judge.learning(self.now));
+        for member in self.gone_peers() {
+            sites.judge.gone(member);
+        }
+        for (member, age, note) in heard {
+            sites.judge.note(self.now, *member, *age, note, &mut actions);
+        }
+        sites.judge.tick(self.now, &mut actions);
+        let mut changed = learnt != sites.judge.learning(self.now);
+        for Judged::Changed { zone, from, to, why } in actions {
+            let name = self.settings.failure_domains.get(zone).cloned().unwrap_or_default();
+            info!(self.log, "site judged"; "zone" => name, "was" => ?from, "is" => ?to, "why" => %why);
+            fleet.judged[state(to)] += 1;
+            // Once it serves again, the plans are made with what it then has.
+            if to == Held::Serving {
+                sites.replan = Some(self.now);
+            }
+            changed = true;
+        }
+        changed |= sites.plan(self, &fleet.members);
+        let number = sites.plans.as_ref().map_or(0, Plans::number);
+        let differ = heard.iter().filter(|h| h.2.plan != 0 && number != 0 && h.2.plan != number).count();
+        if differ != sites.differ {
+            sites.differ = differ;
+            info!(self.log, "plans of other doormans"; "number" => number, "that_differ" => differ, "heard" => heard.len());
+        }
+        changed
+    }
+
+    /// Tells the module what plans and shards ask, if that has changed.
+    fn guide(&mut self, fleet: &mut Fleet, heard: &[Heard]) {
+        let settings = self.settings.for_router();
+        let mut guidance = Guidance::default();
+        if let Some(sites) = &fleet.sites {
+            let named = self.peers.as_ref().map_or(0, |p| p.named());
+            let two = 1 + u32::from(self.is_beside());
+            // Danger: two processes of one doorman have one part; the most doormans that may exist is the bound's.
+            let here = settings
+                .routers_by_zone
+                .get(fleet.zone)
+                .copied()
+                .filter(|h| *h > 0)
+                .unwrap_or(settings.routers);
+            let all = settings.routers.max(named as u32);
+            let zones = self.settings.failure_domains.len();
+            let steps = sites.settings.steps;
+            let cold = settings.cache_start.share.min(settings.parent_start.share).max(0.01);
+            let factors: Vec<f64> =
+                (0..zones).map(|z| pace::here(sites.judge.state(z), steps, cold)).collect();
+            if let Some(plans) = &sites.plans {
+                let expected_return = sites.settings.back + self.ramp();
+                let asked = Asked {
+                    zone: fleet.zone,
+                    here: here * two,
+                    all: all * two,
+                    factors: &factors,
+                    trial: TRIAL,
+                    window: settings.fall_window,
+                    expected_return: expected_return.min(settings.max_retry_after),
+                    learning: (sites.judge.learning(self.now) && !self.heard_all(heard)).then_some(cold),
+                };
+                guidance = plans.guidance(&asked);
+            }
+        }
+        if let Some(shards) = &fleet.shards {
+            guidance.homes = shards.homes();
+        }
+        if *fleet.guidance == guidance {
+            return;
+        }
+        debug!(self.log, "guidance"; "bounds" => guidance.bounds.len(), "pressed" => guidance.pressed,
+               "fills" => ?guidance.fills, "shards" => guidance.homes.len());
+        fleet.guidance = Arc::new(guidance);
+        self.events.push_back(Event::Guidance(fleet.guidance.clone()));
+    }
+
+    /// Sets this doorman's own note, where it has changed or was last said a while ago.
+    fn say_note(&mut self, fleet: &mut Fleet) {
+        if self.peers.is_none() {
+            return;
+        }
+        let note = Said {
+            zone: fleet.zone as u8,
+            clock_ms: 0,
+            plan: fleet.sites.as_ref().and_then(|s| s.plans.as_ref()).map_or(0, Plans::number),
+            epoch: fleet.shards.as_ref().map_or(0, |s| s.epoch()),
+            sights: fleet.sites.as_ref().map_or(Vec::new(), |s| s.judge.sights(self.now)),
+        };
+        let due = |(said, at): &(Said, Time)| *said != note || self.now >= at + SAY_AGAIN;
+        if fleet.said.as_ref().is_none_or(due) {
+            let clock_ms = self.clock.unix_ms(self.now);
+            self.set_note(Said { clock_ms, ..note.clone() }.encode());
+            fleet.said = Some((note, self.now));
+        }
+    }
+}
--- a/src/net/doorman/news.rs
+++ b/src/net/doorman/news.rs
@@ -105,6 +105,7 @@
     }
 
     fn reload_product(&mut self, product: Product) {
+        self.fleet_reload(&product);
         let (Some(registry), Some(new)) = (&mut self.registry, &product.registry) else {
             if self.registry.is_some() || product.registry.is_some() {
                 warn!(self.log, "takes a restart to change"; "what" => "whether there is a registry");
@@ -233,6 +234,7 @@
             }
             members.push(change.member);
         }
+        self.fleet_listed(&members);
         self.events.push_back(Event::Members { complete: false, members });
         let _ = self.live(Life::Listed(self.pool.is_listed()));
     }
--- a/src/net/doorman/peers.rs
+++ b/src/net/doorman/peers.rs
@@ -56,6 +56,11 @@
         }
     }
 
+    /// How many doormans the configuration names.
+    pub(super) fn named(&self) -> usize {
+        self.peering.members.len()
+    }
+
     /// Sends what may be sent by now.
     fn flush(&mut self, now: Time) {
         let (rate, saved, at) = self.budget;
@@ -163,6 +168,41 @@
         }
     }
 
+    /// The notes of the others that can be read.
+    pub(super) fn heard_notes(&self) -> Vec<fleet::Heard> {
+        let Some(peers) = &self.peers else { return Vec::new() };
+        let read = |(member, age, bytes): (MemberId, Time, &[u8])| {
+            Some((member, age, crate::sites::note::Note::decode(bytes).ok()?))
+        };
+        peers.gossip.notes(self.now).filter_map(read).collect()
+    }
+
+    /// The doormans that are dead or have left, as this one sees it.
+    pub(super) fn gone_peers(&self) -> Vec<MemberId> {
+        let Some(peers) = &self.peers else { return Vec::new() };
+        peers.gossip.view().filter(|m| m.1 >= Held::Dead).map(|m| m.0).collect()
+    }
+
+    /// Doormans that are seen and have said nothing.
+    pub(super) fn silent_peers<'a>(
+        &'a self,
+        heard: &'a [fleet::Heard],
+    ) -> impl Iterator<Item = MemberId> + 'a {
+        let peers = self.peers.iter().flat_map(|p| p.gossip.view().map(move |m| (p.peering.me, m)));
+        let silent = |m: MemberId| heard.iter().all(|h| h.0 != m);
+        peers.filter(move |(me, m)| m.0 != *me && m.1 < Held::Dead && silent(m.0)).map(|p| p.1 .0)
+    }
+
+    /// Whether each doorman that is seen has sent its note; nobody is waited for where none can be.
+    pub(super) fn heard_all(&self, heard: &[fleet::Heard]) -> bool {
+        self.silent_peers(heard).next().is_none()
+    }
+
+    /// What this doorman says of itself from now on.
+    pub(super) fn set_note(&mut self, note: Vec<u8>) {
+        self.peers_turn(|peers, now, _| peers.gossip.set_note(now, Some(note)));
+    }
+
     fn peers_turn(&mut self, what: impl FnOnce(&mut Peers, Time, &mut Vec<Action>)) {
         let Some(peers) = self.peers.as_mut() else { return };
         let (now, mut actions) = (self.now, Vec::new());
@@ -179,6 +219,7 @@
                     }
                     peers.queue.push_back((to, bytes));
                 }
+                Action::Noted { .. } => {}
                 Action::Changed { member, state: Held::Alive, incarnation } => {
                     debug!(self.log, "doorman seen"; "member" => member, "incarnation" => incarnation);
                 }
--- a/src/net/doorman/upstream.rs
+++ b/src/net/doorman/upstream.rs
@@ -146,6 +146,9 @@
         let Some(attempt) = open.attempt.take() else { return };
         debug!(self.log, "attempt ended"; "request" => %id, "attempt" => attempt.number, "depot" => %attempt.depot,
                "source" => attempt.fetch.as_ref().map(|f| f.source.to_string()), "code" => ?end.0);
+        let source = attempt.fetch.as_ref().map(|f| &f.source);
+        self.fleet_attempt(&attempt.depot, source, end.0, end.1);
+        self.fleet_wanted(id, end.0, end.1);
         self.tell_outcome(id, attempt.number, attempt.sent, end);
         if self.requests.get(id).is_some_and(|o| o.done) {
             self.forget(id);
--- a/src/placement/follow.rs
+++ b/src/placement/follow.rs
@@ -87,8 +87,8 @@
     }
 
     /// For the module's guidance (see [`ShardMap::homes`]); empty without a map: the order of the hash.
-    pub fn homes(&self, rate: impl Fn(&Id) -> f64) -> Arc<[Home]> {
-        self.map.as_ref().map_or_else(Arc::default, |m| m.homes(rate))
+    pub fn homes(&self, rate: impl Fn(&Id) -> f64, lateral: bool) -> Arc<[Home]> {
+        self.map.as_ref().map_or_else(Arc::default, |m| m.homes(rate, lateral))
     }
 }
 
--- a/src/placement/map.rs
+++ b/src/placement/map.rs
@@ -125,8 +125,8 @@
 
     /// For the module's guidance; `rate` gives how much of warming this doorman may send a box, in transfers at full
     /// pace (its part of [`warm_kb_s`]).
-    pub fn homes(&self, rate: impl Fn(&Id) -> f64) -> Arc<[Home]> {
-        let warming = |to: &Id| Warming { to: to.clone(), rate: rate(to) };
+    pub fn homes(&self, rate: impl Fn(&Id) -> f64, lateral: bool) -> Arc<[Home]> {
+        let warming = |to: &Id| Warming { to: to.clone(), rate: rate(to), lateral };
         let home = |s: &Shard| Home {
             start: s.start,
             home: s.home.clone(),
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -5,6 +5,7 @@
 mod document;
 pub mod error;
 pub mod follow;
+pub mod load;
 pub mod map;
 pub mod moves;
 pub mod planner;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -62,6 +62,8 @@
     pub dedup_scope: String,
     /// See [`Class::window`].
     pub window_us: Time,
+    /// What one request of it is worth; 0: not told.
+    pub worth: f64,
 }
 
 /// Properties of the kind of service.
@@ -75,6 +77,7 @@
     pub direct: bool,
     pub flow_kb_per_s: f64,
     pub inlet_kb_per_s: Vec<f64>,
+    pub lateral: String,
     pub max_age_us: Vec<Time>,
     pub stale_for_us: Vec<Time>,
     pub pass_on: Vec<bool>,
--- a/src/sites/mod.rs
+++ b/src/sites/mod.rs
@@ -4,6 +4,7 @@
 //! Order of precedence: rules of the protocol, then a lost site's plan, then its paced return, then moves of shards,
 //! then splits.
 
+pub mod inputs;
 pub mod judge;
 pub mod note;
 pub mod order;
--- a/src/sites/plan/guide.rs
+++ b/src/sites/plan/guide.rs
@@ -29,6 +29,9 @@
     pub window: Time,
     /// After how long the site is expected back, in microseconds; 0: unknown.
     pub expected_return: Time,
+    /// The doorman is new and a peer may yet tell of a site on its way back: the caches of its zone get no more than
+    /// this part of what they can do. `None`: it has heard from all.
+    pub learning: Option<f64>,
 }
 
 impl Asked<'_> {
@@ -83,7 +86,9 @@
     pub fn guidance(&self, asked: &Asked) -> Guidance {
         let zones = self.inputs.zones;
         if (0..zones).all(|z| asked.factor(z) >= 1.0) {
-            return Guidance::default();
+            let bounds = self.learning(asked, &[]);
+            let window = if bounds.is_empty() { 0 } else { asked.window };
+            return Guidance { window, bounds, ..Guidance::default() };
         }
         let mixed = Mixed::new(self, asked);
         let refuses = |zone| mixed.plans.iter().any(|(_, plan)| plan.refuses(zone));
@@ -100,11 +105,13 @@
         let visited = |t: &usize| {
             targets[*t].role == Role::Cache && targets[*t].zone != asked.zone && mixed.own[*t] > 0.0
         };
+        let mut bounds = self.bounds(asked, &mixed);
+        bounds.extend(self.learning(asked, &bounds));
         let least = asked.expected_return / 4;
         let pause = (least, asked.expected_return - least);
         Guidance {
             window: asked.window,
-            bounds: self.bounds(asked, &mixed),
+            bounds,
             fills: (0..self.inputs.classes.len()).map(fill).collect(),
             pressed: refuses(None) || asked.factor(asked.zone) < 1.0,
             pause: if refuses(Some(asked.zone)) { pause } else { (0, 0) },
@@ -113,6 +120,17 @@
         }
     }
 
+    /// Danger: after most doormans started anew, none may go beyond the step that a site was at, and until it has heard
+    /// from the others a new one does not know of it.
+    fn learning(&self, asked: &Asked, bounds: &[Bound]) -> Vec<Bound> {
+        let Some(part) = asked.learning else { return Vec::new() };
+        let free = |t: &&Target| !bounds.iter().any(|b| b.server == t.server);
+        let own = |t: &&Target| t.role == Role::Cache && t.zone == asked.zone;
+        let rate = |t: &Target| part * t.capacity / f64::from(asked.here.max(1));
+        let bound = |t: &Target| Bound { server: t.server.clone(), rate: rate(t) };
+        self.targets().iter().filter(own).filter(free).map(bound).collect()
+    }
+
     fn bounds(&self, asked: &Asked, mixed: &Mixed) -> Vec<Bound> {
         let (here, all) = (f64::from(asked.here.max(1)), f64::from(asked.all.max(asked.here).max(1)));
         let targets = self.targets();
--- a/src/sites/plan/tests.rs
+++ b/src/sites/plan/tests.rs
@@ -192,7 +192,7 @@
         for zone in 0..inputs.zones {
             let here = doormans[zone];
             let asked =
-                Asked { zone, here, all, factors, trial, window: 1_000_000, expected_return: 10_000_000 };
+                Asked { zone, here, all, factors, trial, window: 1_000_000, expected_return: 10_000_000, learning: None };
             let guidance = plans.guidance(&asked);
             prop_assert_eq!(factors.iter().all(|&f| f >= 1.0), guidance == Guidance::default());
             for bound in &guidance.bounds {
@@ -232,6 +232,7 @@
         trial: 1.0,
         window: 1_000_000,
         expected_return: 8_000_000,
+        learning: None,
     };
     let guidance = plans.guidance(&asked);
     let bound = |server: &str| guidance.bounds.iter().find(|b| &*b.server == server).map(|b| b.rate);
