--- a/src/sites/plan/tests.rs
+++ b/src/sites/plan/tests.rs
@@ -246,6 +246,7 @@
     let mut inputs = small();
     inputs.targets.retain(|t| t.role != Role::Parent);
     inputs.load = vec![vec![40.0, 40.0, 4.0, 6.0], vec![0.0; 4]];
+    inputs.worth = vec![5.0, 5.0, 0.1, 0.1];
     let plans = Plans::make(&inputs).unwrap();
     let admitted = &plans.for_lost(&[0]).admitted[0];
     // Of 8.5: floors of the reads 4, then 4.3 for what must never run twice, then 0.2 for what may.
