--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod fleet;
 pub mod processes;
 pub mod registry;
+pub mod world;
--- a/crates/standins/src/processes.rs
+++ b/crates/standins/src/processes.rs
@@ -79,6 +79,8 @@
     folder: PathBuf,
     configs: Vec<Value>,
     doors: Vec<SocketAddr>,
+    /// The product's script of those that are started from now on; empty: they have none.
+    pub script: String,
     /// Those that run, by number.
     pub running: Vec<Option<Process>>,
     /// What is between them.
@@ -133,7 +135,8 @@
         }
         let doors = (0..many).map(|_| free(9190)).collect();
         let running = (0..many).map(|_| None).collect();
-        Ok(Processes { program: program.into(), folder, configs, doors, running, relay })
+        let (program, script) = (program.into(), String::new());
+        Ok(Processes { program, folder, configs, doors, script, running, relay })
     }
 
     /// Starts one and waits until it listens.
@@ -153,7 +156,13 @@
         std::fs::create_dir_all(&own)?;
         let config = own.join("config.json");
         std::fs::write(&config, self.configs[number].to_string())?;
-        let mut child = Command::new(&self.program)
+        let mut command = Command::new(&self.program);
+        if !self.script.is_empty() {
+            let script = own.join("product.star");
+            std::fs::write(&script, &self.script)?;
+            command.arg("run").arg("--product").arg(script);
+        }
+        let mut child = command
             .env("PROXY_CONFIG", config)
             .env("PROXY_MANAGEMENT", door.to_string())
             .env("TMPDIR", &own)
@@ -176,6 +185,11 @@
         Ok(process)
     }
 
+    /// Where one takes clients.
+    pub fn listens(&self, number: usize) -> Option<SocketAddr> {
+        self.configs.get(number)?["listen"].as_str()?.parse().ok()
+    }
+
     /// Starts all.
     pub fn start_all(&mut self) -> io::Result<()> {
         (0..self.running.len()).try_for_each(|n| self.start(n))
