--- a/src/guidance.rs
+++ b/src/guidance.rs
@@ -55,6 +55,8 @@
     pub fills: Vec<Option<f64>>,
     /// Ageing copies are accepted as far as a class allows, and nothing is renewed behind.
     pub pressed: bool,
+    /// What finds no room at the caches of this zone goes straight to its source, where the settings let it.
+    pub straight: bool,
     /// How long refused clients are to stay away, in microseconds: at least, and up to so much more by chance.
     /// (0, 0): as without guidance.
     pub pause: (Time, Time),
@@ -188,6 +190,11 @@
         self.guidance.as_ref().is_some_and(|g| g.pressed)
     }
 
+    /// Whether requests go straight to a source where the caches here have no room.
+    pub fn straight(&self) -> bool {
+        self.guidance.as_ref().is_some_and(|g| g.straight)
+    }
+
     /// How long refused clients are to stay away, where the plans say so: at least, and more by chance.
     pub fn pause(&self) -> Option<(Time, Time)> {
         self.guidance.as_ref().map(|g| g.pause).filter(|&p| p != (0, 0))
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -217,7 +217,7 @@
             }
             Event::ClientGone { request } => self.client_gone(request, actions),
             Event::Purged { object, group, age } => {
-                // Kept twice as long as copies may linger: a fill from an old copy may end after the last drop.
+                // Kept twice as long as copies may linger: a fill from an old one may end after the last drop.
                 let until = self.now.saturating_add(self.settings.purge_done.saturating_mul(2));
                 self.purged.told(object, group, self.now.saturating_sub(age), until);
             }
@@ -410,8 +410,7 @@
     fn warming(&self, open: &Open) -> Option<(usize, usize)> {
         let (to, from) = self.guide.warms(self.now, open.request.object, open.work)?;
         let place = |id| self.by_id.get(id).copied();
-        let fits =
-            |&s: &usize| self.serving(Role::Cache).contains(&s) && self.usable(s) && self.cold_room(s, open);
+        let fits = |s: &usize| self.serving[0].contains(s) && self.usable(*s) && self.cold_room(*s, open);
         let to = place(to).filter(|s| open.attempts == 0 && fits(s) && self.has_room(*s))?;
         Some((to, from.and_then(place).filter(fits).or_else(|| self.pick_source(open))?))
     }
@@ -694,13 +693,12 @@
         let held_only = crowded.is_some() && !open.lacked;
         // Danger: traffic that passes the caches by fills the location's link: only where no cache is listed.
         // Then parents are asked straight: the archive alone can't bear a whole location.
-        let none_here = self.settings.direct && self.serving(Role::Cache).is_empty();
-        let (server, source) = match self.pick_cache(open) {
-            Some(cache) => (cache, source),
-            None => {
-                let server = source.filter(|_| none_here)?;
-                (server, self.pick_origin(open).filter(|&o| o != server && !held_only))
-            }
+        let none_here = self.guide.straight() || self.serving(Role::Cache).is_empty();
+        let server =
+            self.pick_cache(open).or_else(|| source.filter(|_| none_here && self.settings.direct))?;
+        let source = match source == Some(server) {
+            true => self.pick_origin(open).filter(|&o| o != server && !held_only),
+            false => source,
         };
         let fetch = self.fetch(open, class, source.unwrap_or(server), held_only);
         Some((server, source, Some(fetch)))
--- a/src/sites/plan/guide.rs
+++ b/src/sites/plan/guide.rs
@@ -113,6 +113,7 @@
             window: asked.window,
             bounds,
             fills: (0..self.inputs.classes.len()).map(fill).collect(),
+            straight: asked.factor(asked.zone) < 1.0,
             pressed: refuses(None) || asked.factor(asked.zone) < 1.0,
             pause: if refuses(Some(asked.zone)) { pause } else { (0, 0) },
             beyond: (0..targets.len()).filter(visited).map(|t| targets[t].server.clone()).collect(),
--- a/tests/guided.rs
+++ b/tests/guided.rs
@@ -147,6 +147,14 @@
     let count = play(&mut router, 200, Note::Filled);
     assert!(count.keys().all(|c| c.0.starts_with("parent") && c.1 == "origin"), "{count:?}");
     assert_eq!(count.len(), 3, "each object has its parent: {count:?}");
+    let bounds =
+        (0..4).map(|n| Bound { server: format!("cache-3-{n}").as_str().into(), rate: 0.0 }).collect();
+    let mut held = guided(Guidance { bounds, straight: true, ..Guidance::default() });
+    assert_eq!(
+        play(&mut held, 200, Note::Filled),
+        count,
+        "and so where the plan says that its caches are lost"
+    );
     let mut plain = router_with(Settings { direct: false, ..settings() }, members);
     assert!(refused(&ask(&mut plain, T0, "a", VIDEO, 1)), "where nothing may be asked straight");
 }
