--- a/src/logic.rs
+++ b/src/logic.rs
@@ -217,7 +217,7 @@
             }
             Event::ClientGone { request } => self.client_gone(request, actions),
             Event::Purged { object, group, age } => {
-                // Kept twice as long as copies may linger: a fill from an old one may end after the last drop.
+                // Kept twice as long as copies linger: a fill from an old one may end after the last drop.
                 let until = self.now.saturating_add(self.settings.purge_done.saturating_mul(2));
                 self.purged.told(object, group, self.now.saturating_sub(age), until);
             }
