--- a/crates/standins/src/world/engine.rs
+++ b/crates/standins/src/world/engine.rs
@@ -511,3 +511,84 @@
     }
     Some((at + skip, words))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use mio::Poll;
+
+    const NOBODY: Token = Token(usize::MAX);
+
+    /// The archive, a parent, and two boxes that bear 4 transfers, 1 while cold, and keep 2 copies.
+    fn engine() -> Engine {
+        let class = |name: &str, writes| Class {
+            name: name.into(),
+            fresh_ms: 0,
+            grace_ms: 0,
+            writes,
+            patience_ms: 1,
+            worth: 1.0,
+            share: 1.0,
+            objects: 1,
+            parts: 1,
+        };
+        let classes = vec![class("images", false), class("edits", true)];
+        let (pace, window) = (1e9, 1_000_000_000_000);
+        let figures = Figures { pace, classes, cold: 0.25, ramp: u64::MAX, multiple: 2.0, window };
+        let kinds = [Kind::Archive, Kind::Parent, Kind::Box, Kind::Box].into_iter().enumerate();
+        let spec = |(n, kind)| Spec { id: format!("s-{n}"), zone: n / 2, kind, capacity: 4.0, keeps: 2 };
+        let all = kinds.map(|k| (spec(k), crate::processes::free(9101))).collect();
+        let registry = Poll::new().unwrap().registry().try_clone().unwrap();
+        Engine::new(registry, figures, all, Instant::now()).unwrap()
+    }
+
+    /// Who notes what of one request, which is then over.
+    fn ask(engine: &mut Engine, server: usize, fields: &str) -> Vec<(usize, End)> {
+        engine.notes.arrivals.clear();
+        engine.want(NOBODY, server, "1", fields);
+        while !engine.jobs.is_empty() {
+            engine.pass_time();
+        }
+        engine.notes.arrivals.iter().map(|a| (a.server, a.end)).collect()
+    }
+
+    #[test]
+    fn a_miss_is_filled_through_its_source_kept_and_given_to_others_as_long_as_there_is_room() {
+        let (e, image) = (&mut engine(), |k: &str, more: &str| format!("c=images,k={k},p=0{more}"));
+        assert_eq!(ask(e, 2, &image("a", "")), [(2, End::Nothing)]);
+        let all = [(2, End::Filled), (1, End::Filled), (0, End::Hit)];
+        assert_eq!(ask(e, 2, &image("a", ",via=s-1")), all);
+        assert_eq!(ask(e, 2, &image("a", ",via=s-1")), [(2, End::Hit)]);
+        assert_eq!(ask(e, 3, &image("a", ",via=s-2,opts=h")), [(3, End::Filled), (2, End::Hit)]);
+        assert_eq!(ask(e, 3, &image("b", ",via=s-2,opts=h")), [(3, End::Filled), (2, End::Nothing)]);
+        assert_eq!(ask(e, 3, &image("b", ",via=s-1,opts=h")), [(3, End::Filled), (1, End::Nothing)]);
+        for other in ["c", "d"] {
+            ask(e, 2, &image(other, ",via=s-0"));
+        }
+        assert_eq!(ask(e, 2, &image("a", "")), [(2, End::Nothing)], "the least used went");
+        for _ in 0..2 {
+            assert_eq!(ask(e, 2, "c=edits,k=a,p=0,via=s-0"), [(2, End::Filled), (0, End::Hit)]);
+        }
+    }
+
+    #[test]
+    fn the_dead_and_the_cut_off_fill_nothing_and_what_is_cold_falls_over_when_sent_too_much() {
+        let e = &mut engine();
+        let image = "c=images,k=a,p=0,via=s-1";
+        e.cut = BTreeSet::from([(1, 0)]);
+        assert_eq!(ask(e, 2, image), [(2, End::Filled)]);
+        (e.cut, e.figures.window) = (BTreeSet::new(), 1_000_000);
+        e.end(1, State::Down);
+        assert_eq!(ask(e, 2, image), [(2, End::Filled)]);
+        e.revive(1).unwrap();
+        assert_eq!(ask(e, 2, image).len(), 3);
+        // All of its work: 4 transfers x a quarter x twice, in a window.
+        e.figures.window = 1_000_000_000_000;
+        let most = e.figures.window as f64 * 2.0;
+        let (now, figures, came) = (e.now(), e.figures.clone(), e.servers[1].sum);
+        assert!(e.servers[1].takes(now, most - came, &figures));
+        assert_eq!(ask(e, 1, "c=images,k=a,p=0"), [(1, End::Hit)]);
+        assert_eq!(e.notes.falls.iter().map(|f| f.1).collect::<Vec<_>>(), [1]);
+        assert!(e.servers[1].state == State::Down && e.servers[1].copies.is_empty());
+    }
+}
--- a/tests/sites_fleet.rs
+++ b/tests/sites_fleet.rs
@@ -10,13 +10,14 @@
 
 const S: u64 = 1_000_000;
 
-fn fleet(name: &str) -> Fleet {
+fn fleet(name: &str, script: &str) -> Fleet {
     let plan = Plan::default();
     let servers = plan.servers().unwrap();
     let addresses = servers.addresses.clone();
     let program = env!("CARGO_BIN_EXE_larchdale");
     let way = |_: usize, server: usize| addresses[server];
     let mut fleet = Fleet::new(program, name, plan, servers, &Schedule::default(), way).unwrap();
+    fleet.doormans.script = script.into();
     fleet.warm_parents();
     fleet.doormans.start_all().unwrap();
     fleet.doormans.see([6, 0, 0, 0], Duration::from_secs(20)).expect("all see all");
@@ -50,7 +51,7 @@
 
 #[test]
 fn without_any_plan_each_request_has_one_answer_while_a_branch_loses_its_boxes_and_gets_them_back() {
-    let fleet = fleet("boxes");
+    let fleet = fleet("boxes", "");
     let from = fleet.servers.now();
     let clients = fleet.load(15.0, 1, Duration::from_secs(13)).unwrap();
     let (lost, back) = (from + 4 * S, from + 7 * S);
@@ -74,7 +75,7 @@
 #[test]
 fn without_any_plan_each_request_has_one_answer_while_a_hub_falls_silent_and_a_branch_dies_with_its_doormans()
 {
-    let mut fleet = fleet("branch");
+    let mut fleet = fleet("branch", r#"log(form = "json")"#);
     let from = fleet.servers.now();
     let clients = fleet.load(15.0, 2, Duration::from_secs(10)).unwrap();
     let (lost, told) = (from + 3 * S, from + 5 * S);
