--- a/src/growth/ahead.rs
+++ b/src/growth/ahead.rs
@@ -9,6 +9,7 @@
 use crate::placement::map::ShardMap;
 use crate::placement::moves::Change;
 use crate::placement::rebalance::Place;
+use std::collections::BTreeSet;
 
 /// Cells of the history, and shards, that one slice takes.
 const SLICE_CELLS: usize = 2;
@@ -28,6 +29,7 @@
     cells: Vec<Cell>,
     forecasts: Vec<(Shard, Forecast)>,
     loads: Vec<Load>,
+    troubles: BTreeSet<u64>,
 }
 
 /// All that a planner knows of one zone's growth.
@@ -44,6 +46,8 @@
     /// The schedule, where it differs from the one that was read.
     schedule: Option<Vec<u8>>,
     kept: Option<Vec<u8>>,
+    /// Shards of which operators were told: each trouble is said once while it lasts.
+    told: BTreeSet<u64>,
 }
 
 impl Ahead {
@@ -60,6 +64,7 @@
             wishes: None,
             schedule: None,
             kept: None,
+            told: BTreeSet::new(),
         }
     }
 
@@ -120,7 +125,8 @@
         }
         self.scheduler.follow(&shards);
         let (windows, cells, forecasts, loads) = (windows.to_vec(), Vec::new(), Vec::new(), Vec::new());
-        self.job = Some(Job { shards, windows, kb_s, work, cells, forecasts, loads });
+        let troubles = BTreeSet::new();
+        self.job = Some(Job { shards, windows, kb_s, work, cells, forecasts, loads, troubles });
         read.map(drop)
     }
 
@@ -142,7 +148,10 @@
             let forecast = Forecast::of(&series, &self.settings);
             let moves_ms =
                 if job.kb_s > 0.0 { (kb / 2.0 / job.kb_s * 1e3).min(1e15) as u64 } else { u64::MAX };
-            notices.extend(self.scheduler.plan(now_ms, &shard, &forecast, &job.windows, moves_ms));
+            if let Some(notice) = self.scheduler.plan(now_ms, &shard, &forecast, &job.windows, moves_ms) {
+                job.troubles.insert(shard.start);
+                notices.extend(Some(notice).filter(|_| !self.told.contains(&shard.start)));
+            }
             job.loads.push((shard.start, job.work[at], kb));
             job.forecasts.push((shard, forecast));
         }
@@ -162,7 +171,7 @@
         };
         let merges = merges.into_iter().filter_map(merge);
         self.wishes = Some(self.scheduler.scheduled().map(split).chain(merges).collect());
-        self.loads = job.loads;
+        (self.loads, self.told) = (job.loads, job.troubles);
         let schedule = self.scheduler.encode();
         let empty = self.kept.is_none() && self.scheduler.scheduled().next().is_none();
         self.schedule = (!empty && self.kept.as_ref() != Some(&schedule)).then_some(schedule);
--- a/src/net/doorman/shards.rs
+++ b/src/net/doorman/shards.rs
@@ -23,8 +23,10 @@
 
 /// Between two turns of the planner, and between two looks at what is to be written.
 const STEP: Time = 1_000 * MS;
-/// Between two plans of splits: long against how fast a forecast changes.
+/// Between two plans of splits at most, where buckets are longer: what is known changes with a bucket.
 const FORECAST: Time = 60_000 * MS;
+/// Between two slices of a forecast.
+const SLICE: Time = 50 * MS;
 /// Part of a box's capacity that warming may take at most.
 const SPARE: f64 = 0.25;
 
@@ -62,7 +64,10 @@
     work: Work,
     out: FxHashMap<u64, Out>,
     number: u64,
+    /// See [`FORECAST`].
+    forecast: Time,
     stepped: Time,
+    sliced: Time,
     leads: bool,
     /// Steps of moves that were committed, splits and merges among them.
     committed: u64,
@@ -108,7 +113,9 @@
             homes: Arc::default(),
             out: FxHashMap::default(),
             number: 0,
+            forecast: product.growth.as_ref().map_or(FORECAST, |g| g.bucket.clamp(STEP, FORECAST)),
             stepped: 0,
+            sliced: 0,
             leads: false,
             committed: 0,
             refused: 0,
@@ -144,7 +151,8 @@
         if self.driver.wants_turn() {
             return 0;
         }
-        self.driver.next().min(self.stepped + STEP)
+        let slice = self.leads && self.zones.values().any(|z| z.ahead.as_ref().is_some_and(|a| !a.done()));
+        self.driver.next().min(if slice { self.sliced + SLICE } else { self.stepped + STEP })
     }
 
     pub(super) fn figures(&self) -> [(&'static str, u64); 6] {
@@ -169,6 +177,10 @@
             self.leads = fence.is_some();
             info!(doorman.log, "planner of the shards"; "leads" => self.leads, "fence" => fence);
         }
+        if fence.is_some() && now >= self.sliced + SLICE {
+            self.sliced = now;
+            self.look_ahead(doorman);
+        }
         if now >= self.stepped + STEP {
             self.stepped = now;
             self.count(doorman);
@@ -332,6 +344,16 @@
         }
     }
 
+    /// One slice of each look ahead that is under way.
+    fn look_ahead(&mut self, doorman: &Doorman) {
+        let now_ms = doorman.clock.unix_ms(doorman.now);
+        for ahead in self.zones.values_mut().filter_map(|z| z.ahead.as_mut()) {
+            for notice in ahead.step(now_ms) {
+                warn!(doorman.log, "split not in time"; "zone" => ahead.zone(), "why" => %notice);
+            }
+        }
+    }
+
     /// The planner's part for one zone.
     fn plan(&mut self, doorman: &Doorman, fleet: &Fleet, heard: &[Heard], zone: Zone, fence: Option<i64>) {
         let names = &doorman.settings.failure_domains;
@@ -348,27 +370,19 @@
         let mut schedule = None;
         if let (Some(ahead), Some(map), Some(_)) = (&mut zoned.ahead, &read, fence) {
             let key = Ahead::schedule_key(name);
-            if zoned.forecast.is_none_or(|at| doorman.now >= at + FORECAST) || !ahead.done() {
-                if ahead.done() {
-                    zoned.forecast = Some(doorman.now);
-                    let until = now_ms.saturating_add(crate::placement::quiet::AHEAD_MS);
-                    let windows = self.calendar.windows(name, now_ms, until);
-                    let kept = self.driver.get(&key).map(|d| d.value.as_slice());
-                    let work = Work::merged(
-                        self.driver.below(&Work::below(name)).map(|d| d.1.value.as_slice()),
-                        now_ms,
-                    );
-                    let link = self.link(doorman, fleet, zone);
-                    let kb_s = warm_kb_s(self.settings.warm, link, f64::INFINITY);
-                    if let Err(e) = ahead.begin(map, &places, &windows, kb_s, &work, kept) {
-                        warn!(doorman.log, "schedule of splits not taken"; "zone" => name, "why" => %e);
-                    }
-                }
-                for notice in ahead.step(now_ms) {
-                    warn!(doorman.log, "split not in time"; "zone" => name, "why" => %notice);
+            if ahead.done() && zoned.forecast.is_none_or(|at| doorman.now >= at + self.forecast) {
+                zoned.forecast = Some(doorman.now);
+                let until = now_ms.saturating_add(crate::placement::quiet::AHEAD_MS);
+                let windows = self.calendar.windows(name, now_ms, until);
+                let kept = self.driver.get(&key).map(|d| d.value.as_slice());
+                let counts = self.driver.below(&Work::below(name)).map(|d| d.1.value.as_slice());
+                let work = Work::merged(counts, now_ms);
+                let kb_s = warm_kb_s(self.settings.warm, self.link(doorman, fleet, zone), f64::INFINITY);
+                if let Err(e) = ahead.begin(map, &places, &windows, kb_s, &work, kept) {
+                    warn!(doorman.log, "schedule of splits not taken"; "zone" => name, "why" => %e);
                 }
-                schedule = ahead.schedule().map(|value| (key, value));
             }
+            schedule = ahead.schedule().map(|value| (key, value));
         }
         let sites: Vec<_> = (0..names.len()).map(|z| fleet.site(z)).collect();
         let mut doormans: Vec<Option<u32>> =
--- a/src/placement/planner.rs
+++ b/src/placement/planner.rs
@@ -557,7 +557,8 @@
         notices: &mut Vec<Notice>,
     ) -> Option<(Option<ShardMap>, Moves)> {
         let limits = self.left(v, moves);
-        if v.now < self.look || limits.moves == 0 || limits.kb <= 0.0 {
+        // Danger: while nothing is measured all shards look empty, and all may go to one box.
+        if v.loads.is_empty() || v.now < self.look || limits.moves == 0 || limits.kb <= 0.0 {
             return None;
         }
         self.look = v.now.saturating_add(LOOK);
--- a/tests/shards_fleet.rs
+++ b/tests/shards_fleet.rs
@@ -30,7 +30,8 @@
 #[test]
 fn moves() {
     let registry = Registry::start(1).unwrap();
-    let script = format!(
+    let script =
+        format!(
         "shards(endpoints = [\"{}\"], prefix = \"/f/\", first = 8, lease_ms = 3000, spread_percent = 5)\n\
          growth(bucket_ms = 1000, box_mb = 100)\n\
          quiet(zone = \"edge-1\", starts = \"{}\", ends = \"{}\")\n",
@@ -41,7 +42,17 @@
     let requests = gather(clients);
     for (n, p) in fleet.doormans.running.iter().enumerate() {
         let p = p.as_ref().unwrap();
-        for m in ["shards are on", "planner of the shards", "map of shards applied", "shards", "split not in time", "bucket of growth not taken", "map of shards stays as it is", "planner's step answered", "not written"] {
+        for m in [
+            "shards are on",
+            "planner of the shards",
+            "map of shards applied",
+            "shards",
+            "split not in time",
+            "bucket of growth not taken",
+            "map of shards stays as it is",
+            "planner's step answered",
+            "not written",
+        ] {
             for l in p.logged(m) {
                 println!("{n} {} {}", (l.at - fleet.servers.began).as_micros() as u64 / 1000, l.fields);
             }
