--- a/crates/standins/src/world/checker.rs
+++ b/crates/standins/src/world/checker.rs
@@ -8,12 +8,11 @@
 /// A request that crosses the close of its connection within this time was not taken.
 const CROSSES: u64 = 50_000;
 
-/// Requests that did not get exactly one final answer. `dead` says when doormans were ended by force: what was lost
-/// then, or unanswered, counts for nothing.
-pub fn unanswered<'a>(requests: &'a [Request], dead: &[(usize, u64)]) -> Vec<&'a Request> {
+/// Requests that did not get exactly one final answer. `dead` says between which times doormans were ended by
+/// force: what was lost by that is no breach.
+pub fn unanswered<'a>(requests: &'a [Request], dead: &[(usize, u64, u64)]) -> Vec<&'a Request> {
     let broken = |r: &&Request| {
-        let killed =
-            |until: u64| dead.iter().any(|&(d, at)| d == r.doorman && (r.sent..=until).contains(&at));
+        let killed = |lost| dead.iter().any(|d| d.0 == r.doorman && r.sent <= d.2 && d.1 <= lost);
         match (r.answers.len(), r.lost) {
             (1, _) => false,
             (0, Some(at)) => at - r.sent > CROSSES && !killed(at),
@@ -140,11 +139,16 @@
             request(1, 60, &[], Some(S)),
             request(1, 70, &[SERVED, SERVED], Some(S)),
         ];
-        let sent =
-            |dead: &[(usize, u64)]| unanswered(&requests, dead).iter().map(|r| r.sent).collect::<Vec<_>>();
+        let sent = |dead: &[(usize, u64, u64)]| {
+            unanswered(&requests, dead).iter().map(|r| r.sent).collect::<Vec<_>>()
+        };
         assert_eq!(sent(&[]), [20, 30, 50, 60, 70]);
-        assert_eq!(sent(&[(1, S / 2)]), [20, 30, 50, 70]);
-        assert_eq!(sent(&[(1, 2 * S), (1, 5)]), [20, 30, 50, 60, 70], "it lived from then to the loss");
+        assert_eq!(sent(&[(1, S / 2, S + 1)]), [20, 30, 50, 70]);
+        assert_eq!(
+            sent(&[(1, 2 * S, 3 * S), (1, 5, 9)]),
+            [20, 30, 50, 60, 70],
+            "it lived from then to the loss"
+        );
     }
 
     #[test]
--- a/tests/sites_fleet.rs
+++ b/tests/sites_fleet.rs
@@ -25,7 +25,7 @@
 }
 
 /// What holds whatever happens to servers.
-fn judge(fleet: &Fleet, requests: &[Request], dead: &[(usize, u64)]) {
+fn judge(fleet: &Fleet, requests: &[Request], dead: &[(usize, u64, u64)]) {
     let notes = fleet.servers.notes();
     let unanswered = checker::unanswered(requests, dead);
     assert!(unanswered.is_empty(), "{} of {}, as {:?}", unanswered.len(), requests.len(), unanswered[0]);
@@ -83,12 +83,11 @@
     let parent = fleet.servers.of(1, Kind::Parent)[0];
     fleet.servers.silence(parent);
     fleet.servers.of(4, Kind::Box).into_iter().for_each(|b| fleet.servers.kill(b));
-    let dead: Vec<(usize, u64)> = [4, 5]
-        .map(|doorman| {
-            fleet.doormans.kill(doorman);
-            (doorman, fleet.servers.now())
-        })
-        .to_vec();
+    let dead = [4, 5].map(|doorman| {
+        let from = fleet.servers.now();
+        fleet.doormans.kill(doorman);
+        (doorman, from, fleet.servers.now())
+    });
     sleep_until(&fleet, told);
     (0..4).for_each(|doorman| fleet.tell(doorman, parent, Listed::Gone));
     let requests = gather(clients);
