--- a/crates/standins/src/bin/measure-growth.rs
+++ b/crates/standins/src/bin/measure-growth.rs
@@ -103,7 +103,6 @@
     let shard = Shard { start: 0, last: u64::MAX, home: Some("a".into()), box_kb: full_kb / settings.split };
     let full = (HISTORY..truth.len()).find(|&n| truth[n] >= full_kb);
     outcome.shards += 1;
-    outcome.full += usize::from(full.is_some());
     let mut scheduler = Scheduler::new(settings.clone());
     let mut split = None;
     for n in (HISTORY..HISTORY + TO_COME - 24).step_by(24) {
@@ -129,6 +128,8 @@
     outcome.splits += usize::from(split.is_some());
     let last = TO_COME + HISTORY - 48;
     let judged = full.is_some_and(|f| f > HISTORY + 48 && f <= last);
+    // Those full in the first or last two days are left out: nothing could be scheduled, or nothing be seen.
+    outcome.full += usize::from(judged);
     let late = judged && full.is_some_and(|f| split.is_none_or(|at| moved(at) > f));
     let sudden = full.is_some_and(|f| (flood..flood.saturating_add(48)).contains(&f));
     outcome.late += usize::from(late && !sudden);
