Gossip: each doorman's note spreads along with the datagrams, aged and bounded

What doormans see of sites has to reach the others as hints, without datagrams of its own and without crowding out the view's updates.

Notes of up to 64 bytes (Gossip::set_note, Gossip::notes, Action::Noted) go along with all datagrams: least told first, youngest of those; 85 bytes of a datagram with notes are kept for one. Only such datagrams are of version 2, so a fleet without notes speaks version 1 as before. A note that has just changed brings 3 extra datagrams in a period of 0.5 s at most.

--- a/crates/standins/src/bin/measure-view.rs
+++ b/crates/standins/src/bin/measure-view.rs
@@ -17,6 +17,21 @@
     fleet
 }
 
+/// What a member says of itself: as long as it may be, each time another.
+fn note(member: usize, time: u8) -> Vec<u8> {
+    let mut note = vec![time; message::Note::LARGEST];
+    note[0] = member as u8;
+    note
+}
+
+/// A fleet in which all have said something for a while.
+fn noted(many: usize, seed: u64, loss: f64) -> Fleet {
+    let mut fleet = fleet(many, seed, loss);
+    (0..many).for_each(|member| fleet.note(member, &note(member, 0)));
+    fleet.run(30 * S);
+    fleet
+}
+
 fn at(sorted: &[u64], part: f64) -> f64 {
     sorted[((sorted.len() - 1) as f64 * part) as usize] as f64 / S as f64
 }
@@ -88,6 +103,46 @@
         (fleet.now - since) as f64 / S as f64
     });
     row("all agree after a partition of 10 s into halves, s", None, healed);
+    // In time for those who use them: what others say counts for nothing once it is 4 s old.
+    let spread = |loss| {
+        sizes.map(|(many, plays)| {
+            let mut spans = Vec::new();
+            for seed in 0..plays.min(30) {
+                let mut fleet = noted(many, seed, loss);
+                let (who, since) = (seed as usize % many, fleet.now);
+                fleet.note(who, &note(who, 1));
+                let is = |member| if member == who { note(who, 1) } else { Vec::new() };
+                while fleet.noted(is) < many - 1 && fleet.now < since + 60 * S {
+                    fleet.run(S / 50);
+                }
+                spans.push(fleet.now - since);
+            }
+            spans.sort_unstable();
+            (at(&spans, 0.5), at(&spans, 1.0))
+        })
+    };
+    for loss in [0.0, 0.1, 0.3] {
+        let spans = spread(loss);
+        let what = format!("a changed note of 64 bytes is with all, s, {:.0}% loss", loss * 100.0);
+        row(&format!("{what}, median"), None, spans.map(|s| s.0));
+        row("the same, longest", Some(4.0), spans.map(|s| s.1));
+    }
+    let (mut parts, mut loads) = ([[0.0; 3]; 3], [0.0; 3]);
+    for (n, (many, _)) in sizes.into_iter().enumerate() {
+        let mut fleet = noted(many, 9, 0.1);
+        (0..many).for_each(|member| fleet.note(member, &note(member, 1)));
+        let before = fleet.sent.0;
+        for (part, span) in [S, S, 2 * S].into_iter().enumerate() {
+            fleet.run(span);
+            let held = fleet.noted(|member| note(member, 1)) as f64;
+            parts[part][n] = held / (many * (many - 1)) as f64;
+        }
+        loads[n] = (fleet.sent.0 - before) as f64 / 4.0 / many as f64;
+    }
+    for (part, after) in parts.into_iter().zip([1, 2, 4]) {
+        row(&format!("all change at once: part held after {after} s, 10% loss"), None, part);
+    }
+    row("datagrams a second a member in these 4 s", None, loads);
     println!("CPU of one datagram: see the bench below (aim: under 5 us)");
     if missed > 0 {
         ExitCode::FAILURE
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -100,6 +100,19 @@
         self.kill(member);
     }
 
+    /// Has one say this of itself from now on.
+    pub fn note(&mut self, member: usize, note: &[u8]) {
+        if let Some(gossip) = &mut self.members[member] {
+            gossip.set_note(self.now, Some(note.to_vec()));
+        }
+    }
+
+    /// Of how many others' notes the latest are held, by all that run together; `is` is what each says of itself.
+    pub fn noted(&self, is: impl Fn(usize) -> Vec<u8>) -> usize {
+        let held = |g: &Gossip| g.notes(self.now).filter(|n| n.2 == is(usize::from(n.0))).count();
+        self.members.iter().flatten().map(held).sum()
+    }
+
     /// Runs for so long.
     pub fn run(&mut self, span: u64) {
         let until = self.now + span;
@@ -135,6 +148,7 @@
                 Action::Changed { member, state, .. } => {
                     self.changes.push(Change { at: self.now, by, member: usize::from(member), state });
                 }
+                Action::Noted { .. } => {}
                 Action::Send { to, bytes } => {
                     self.sent.0 += 1;
                     self.sent.1 += bytes.len() as u64;
--- a/src/gossip/message.rs
+++ b/src/gossip/message.rs
@@ -1,10 +1,14 @@
-//! The datagrams that doormans send each other: a version byte, a head, and as many updates as fit. Any bytes are
-//! read without a panic; what is no datagram of this version is an error.
+//! The datagrams that doormans send each other: a version byte, a head, and as many updates as fit; in version 2 the
+//! number of updates stands before them, and notes follow. Any bytes are read without a panic; what is no datagram of
+//! these versions is an error.
 
 use serde::{Deserialize, Serialize};
 
-/// Version of the form; another one is not read.
+/// Version of the form without notes.
 pub const VERSION: u8 = 1;
+/// Version of the form with notes: only datagrams that carry one have it, so that doormans of the version before
+/// still read all others. Other versions than these two are not read.
+pub const WITH_NOTES: u8 = 2;
 /// Most bytes of a datagram: longer ones are not allowed between doormans.
 pub const LARGEST: usize = 256;
 
@@ -42,6 +46,41 @@
     pub accuser: MemberId,
 }
 
+/// What a doorman says of itself, as it is told on.
+#[derive(Clone, Debug, Deserialize, PartialEq, Eq, Hash, Serialize)]
+pub struct Note {
+    /// Whose it is.
+    pub member: MemberId,
+    /// In which incarnation it was written.
+    pub incarnation: Incarnation,
+    /// Which of that doorman's notes: higher is later.
+    pub sequence: u32,
+    /// Milliseconds since it was written, or last said anew by its doorman, without its ways.
+    pub age_ms: u16,
+    /// At most [`Note::LARGEST`].
+    pub bytes: Vec<u8>,
+}
+
+impl Note {
+    /// Most bytes of a note.
+    pub const LARGEST: usize = crate::sites::note::LARGEST;
+}
+
+/// Bytes that the largest note takes with all that stands before it: so many are kept free of updates where a note is
+/// to go along, and the rest is kept free of notes while there are updates.
+const NOTE_ROOM: usize = Note::LARGEST + 3 + 9 + 5 + 3 + 1;
+
+/// What a datagram says.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Datagram {
+    /// See [`Head`].
+    pub head: Head,
+    /// What its sender holds of some members.
+    pub updates: Vec<Update>,
+    /// Notes of some, its sender's among them.
+    pub notes: Vec<Note>,
+}
+
 /// What a datagram is for, beside its updates.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq, Hash, Serialize)]
 pub enum Kind {
@@ -85,48 +124,85 @@
             Undecodable::Length => "empty or over 256 bytes",
             Undecodable::Version => "of another version",
             Undecodable::Form => "cut off or not in this form",
-            Undecodable::Figure => "an incarnation out of range",
+            Undecodable::Figure => "an incarnation or a note out of range",
         })
     }
 }
 
 impl std::error::Error for Undecodable {}
 
-/// Writes a datagram with the updates in their order, as many as fit, and tells how many those are.
-pub fn encode(head: &Head, updates: impl IntoIterator<Item = Update>) -> (Vec<u8>, usize) {
-    let mut bytes = postcard::to_extend(head, vec![VERSION]).unwrap_or_default();
+/// Writes a datagram with updates and notes in their order, as many as fit, and tells how many of each those are.
+/// Without notes it is of version 1. Notes longer than [`Note::LARGEST`] must not be given.
+pub fn encode(
+    head: &Head,
+    updates: impl IntoIterator<Item = Update>,
+    notes: &[Note],
+) -> (Vec<u8>, usize, usize) {
+    let version = if notes.is_empty() { VERSION } else { WITH_NOTES };
+    let mut bytes = postcard::to_extend(head, vec![version]).unwrap_or_default();
+    let number_at = bytes.len();
+    let mut room = LARGEST;
+    if version == WITH_NOTES {
+        bytes.push(0);
+        room -= NOTE_ROOM;
+    }
     let mut space = [0; LARGEST];
-    let mut count = 0;
+    let (mut count, mut noted) = (0, 0);
     for update in updates {
         let Ok(coded) = postcard::to_slice(&update, &mut space) else { break };
-        if bytes.len() + coded.len() > LARGEST {
+        if bytes.len() + coded.len() > room {
             break;
         }
         bytes.extend_from_slice(coded);
         count += 1;
     }
-    (bytes, count)
+    if let Some(number) = bytes.get_mut(number_at) {
+        if version == WITH_NOTES {
+            // An update takes four bytes at least, so that 255 never fit.
+            *number = count as u8;
+        }
+    }
+    for note in notes {
+        let Ok(coded) = postcard::to_slice(note, &mut space) else { break };
+        if bytes.len() + coded.len() > LARGEST {
+            break;
+        }
+        bytes.extend_from_slice(coded);
+        noted += 1;
+    }
+    (bytes, count, noted)
 }
 
 /// Reads a datagram.
-pub fn decode(bytes: &[u8]) -> Result<(Head, Vec<Update>), Undecodable> {
-    let (version, rest) = bytes.split_first().ok_or(Undecodable::Length)?;
+pub fn decode(bytes: &[u8]) -> Result<Datagram, Undecodable> {
+    let (&version, rest) = bytes.split_first().ok_or(Undecodable::Length)?;
     if bytes.len() > LARGEST {
         return Err(Undecodable::Length);
     }
-    if *version != VERSION {
+    if ![VERSION, WITH_NOTES].contains(&version) {
         return Err(Undecodable::Version);
     }
     let (head, mut rest) = postcard::take_from_bytes::<Head>(rest).map_err(|_| Undecodable::Form)?;
-    let mut updates = Vec::new();
-    while !rest.is_empty() {
+    let mut number = None;
+    if version == WITH_NOTES {
+        let (&first, more) = rest.split_first().ok_or(Undecodable::Form)?;
+        (number, rest) = (Some(usize::from(first)), more);
+    }
+    let (mut updates, mut notes) = (Vec::new(), Vec::new());
+    while number.map_or(!rest.is_empty(), |n| updates.len() < n) {
         let (update, more) = postcard::take_from_bytes::<Update>(rest).map_err(|_| Undecodable::Form)?;
         updates.push(update);
         rest = more;
     }
-    let known = std::iter::once(head.incarnation).chain(updates.iter().map(|u| u.incarnation));
-    if known.into_iter().any(|i| i >= ABSURD) {
+    while !rest.is_empty() {
+        let (note, more) = postcard::take_from_bytes::<Note>(rest).map_err(|_| Undecodable::Form)?;
+        notes.push(note);
+        rest = more;
+    }
+    let said = updates.iter().map(|u| u.incarnation).chain(notes.iter().map(|n| n.incarnation));
+    let absurd = std::iter::once(head.incarnation).chain(said).any(|i| i >= ABSURD);
+    if absurd || notes.iter().any(|n| n.bytes.len() > Note::LARGEST) {
         return Err(Undecodable::Figure);
     }
-    Ok((head, updates))
+    Ok(Datagram { head, updates, notes })
 }
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -9,11 +9,13 @@
 //! the same updates agree, in whatever order and however often those came.
 
 pub mod message;
+mod notes;
 #[cfg(test)]
 mod tests;
 
-use self::message::{decode, encode, Head, Kind, Undecodable, Update};
+use self::message::{decode, encode, Datagram, Head, Kind, Undecodable, Update};
 pub use self::message::{Incarnation, MemberId, State};
+use self::notes::Notes;
 use crate::interface::Time;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
@@ -64,6 +66,11 @@
             confirmations: 2,
         }
     }
+
+    /// With how many datagrams an update or a note goes along.
+    fn tells(&self) -> u32 {
+        (self.spread * f64::from(self.members.saturating_add(1)).log2()).ceil() as u32
+    }
 }
 
 /// What is to be done.
@@ -85,6 +92,11 @@
         /// In which incarnation.
         incarnation: Incarnation,
     },
+    /// A later note of a member has come, see [`Gossip::notes`].
+    Noted {
+        /// Whose.
+        member: MemberId,
+    },
 }
 
 /// What is counted.
@@ -157,6 +169,7 @@
     /// Updates that still go along with datagrams, with how often they did.
     news: Vec<(Update, u32)>,
     refreshed: usize,
+    notes: Notes,
     health: u32,
     rng: Pcg32,
     counts: Counts,
@@ -181,6 +194,7 @@
             seq: 0,
             news: Vec::new(),
             refreshed: 0,
+            notes: Notes::new(config.me, config.tells(), config.period),
             health: 0,
             rng: Pcg32::seed_from_u64(seed),
             counts: Counts::default(),
@@ -211,18 +225,19 @@
         let late = self.probe.as_ref().filter(|p| !p.answered).map(|p| p.late);
         let relays = self.relays.iter().map(|r| r.until);
         let ends = (0..self.config.members).filter_map(|m| self.ends(m));
-        late.into_iter().chain(relays).chain(ends).fold(self.next_period, Time::min)
+        late.into_iter().chain(relays).chain(ends).chain(self.notes.extra()).fold(self.next_period, Time::min)
     }
 
     /// Lets time pass.
     pub fn tick(&mut self, now: Time, actions: &mut Vec<Action>) {
         if self.leaving {
             self.next_period = Time::MAX;
+            self.notes.take_extra(Time::MAX);
             return;
         }
         for at in (0..self.relays.len()).rev().filter(|&r| self.relays[r].until <= now).collect::<Vec<_>>() {
             let relay = self.relays.remove(at);
-            self.send(relay.asker, Kind::Nack(relay.their_seq), actions);
+            self.send(now, relay.asker, Kind::Nack(relay.their_seq), actions);
         }
         self.ask_others(now, actions);
         for member in 0..self.config.members {
@@ -233,8 +248,31 @@
         if now >= self.next_period {
             self.judge_probe(now, actions);
             self.next_period = now + self.patient(self.config.period);
+            self.notes.tend(now, self.members[usize::from(self.config.me)].incarnation);
             self.begin_probe(now, actions);
         }
+        if self.notes.take_extra(now) {
+            let mut told = self.others(|m| m.state == State::Alive);
+            told.shuffle(&mut self.rng);
+            told.into_iter().take(notes::EXTRA).for_each(|to| self.send(now, to, Kind::News, actions));
+        }
+    }
+
+    /// Sets this doorman's own note, of at most [`message::Note::LARGEST`] bytes; a longer one counts as none. A
+    /// changed one goes along with the next datagrams and with a few extra ones ([`Gossip::tick`] sends them, at most
+    /// three in a period); an unchanged one is said anew every 2 s. Of one that is taken back (`None`) the others keep
+    /// the last until it is a minute old.
+    pub fn set_note(&mut self, now: Time, note: Option<Vec<u8>>) {
+        if !self.leaving {
+            self.notes.set(now, self.members[usize::from(self.config.me)].incarnation, note);
+        }
+    }
+
+    /// The latest note of each other member that is not held to be dead or gone, with its age in microseconds since
+    /// its doorman wrote it or last said it anew: what its holders kept it, without its ways. None is older than a
+    /// minute.
+    pub fn notes(&self, now: Time) -> impl Iterator<Item = (MemberId, Time, &[u8])> {
+        self.notes.others(now)
     }
 
     /// Takes a datagram from a member.
@@ -246,7 +284,8 @@
         actions: &mut Vec<Action>,
     ) -> Result<(), Undecodable> {
         self.counts.received += 1;
-        let (head, updates) = decode(bytes).inspect_err(|_| self.counts.undecodable += 1)?;
+        let Datagram { head, updates, notes } =
+            decode(bytes).inspect_err(|_| self.counts.undecodable += 1)?;
         if from == self.config.me || from >= self.config.members || self.leaving {
             return Ok(());
         }
@@ -258,8 +297,16 @@
         for update in updates {
             self.update(now, from, update, actions);
         }
+        for note in notes {
+            let member = note.member;
+            let lives = |m: &Member| m.state <= State::Suspect;
+            let known = member != self.config.me && self.members.get(usize::from(member)).is_some_and(lives);
+            if known && self.notes.put(now, note) {
+                actions.push(Action::Noted { member });
+            }
+        }
         match head.kind {
-            Kind::Ping(seq) => self.send(from, Kind::Ack(seq), actions),
+            Kind::Ping(seq) => self.send(now, from, Kind::Ack(seq), actions),
             Kind::PingReq(their_seq, target) => {
                 if target < self.config.members && target != self.config.me {
                     let (seq, until) = (self.next_seq(), now + self.config.timeout);
@@ -267,10 +314,10 @@
                         self.relays.remove(0);
                     }
                     self.relays.push(Relay { seq, target, asker: from, their_seq, until });
-                    self.send(target, Kind::Ping(seq), actions);
+                    self.send(now, target, Kind::Ping(seq), actions);
                 }
             }
-            Kind::Ack(seq) => self.acked(from, seq, actions),
+            Kind::Ack(seq) => self.acked(now, from, seq, actions),
             Kind::Nack(seq) => {
                 if let Some(probe) = self.probe.as_mut().filter(|p| p.seq == seq) {
                     probe.nacks += 1;
@@ -290,7 +337,7 @@
         self.members[usize::from(me)].state = State::Left;
         self.say(me);
         let told: Vec<MemberId> = self.others(|m| m.state <= State::Suspect);
-        told.into_iter().for_each(|to| self.send(to, Kind::News, actions));
+        told.into_iter().for_each(|to| self.send(now, to, Kind::News, actions));
         self.leaving = true;
         self.tick(now, actions);
     }
@@ -344,6 +391,9 @@
         if state == State::Suspect {
             held.suspicion = Some(Suspicion { since: now, accusers: Vec::new() });
         }
+        if state >= State::Dead {
+            self.notes.forget(member);
+        }
         self.say(member);
         actions.push(Action::Changed { member, state, incarnation });
     }
@@ -410,7 +460,7 @@
         let gone = self.others(|m| m.state == State::Dead);
         if let Some(&back) = gone.get(self.rng.random_range(0..gone.len().max(1))) {
             let seq = self.next_seq();
-            self.send(back, Kind::Ping(seq), actions);
+            self.send(now, back, Kind::Ping(seq), actions);
         }
         let lives = |g: &Self, m: MemberId| g.members[usize::from(m)].state <= State::Suspect;
         let target = loop {
@@ -428,7 +478,7 @@
         };
         self.probe = target.map(|target| {
             let seq = self.next_seq();
-            self.send(target, Kind::Ping(seq), actions);
+            self.send(now, target, Kind::Ping(seq), actions);
             let late = now + self.patient(self.config.timeout);
             Probe { target, seq, late, asked: None, nacks: 0, answered: false }
         });
@@ -443,8 +493,8 @@
         helpers.retain(|&h| asked.is_none() && h != target);
         helpers.shuffle(&mut self.rng);
         helpers.truncate(self.config.indirect);
-        helpers.iter().for_each(|&to| self.send(to, Kind::PingReq(seq, target), actions));
-        self.send(target, Kind::Ping(seq), actions);
+        helpers.iter().for_each(|&to| self.send(now, to, Kind::PingReq(seq, target), actions));
+        self.send(now, target, Kind::Ping(seq), actions);
         let timeout = self.patient(self.config.timeout);
         let again = now + timeout;
         let late = if again + timeout <= self.next_period { again } else { Time::MAX };
@@ -468,15 +518,15 @@
         // Danger: it must hear of this before all others do, else its denial runs after an accusation that is
         // everywhere, and others confirm that by chance meanwhile.
         let seq = self.next_seq();
-        self.send(probe.target, Kind::Ping(seq), actions);
+        self.send(now, probe.target, Kind::Ping(seq), actions);
     }
 
-    fn acked(&mut self, from: MemberId, seq: u32, actions: &mut Vec<Action>) {
+    fn acked(&mut self, now: Time, from: MemberId, seq: u32, actions: &mut Vec<Action>) {
         if let Some(probe) = self.probe.as_mut().filter(|p| p.seq == seq) {
             probe.answered = true;
         } else if let Some(at) = self.relays.iter().position(|r| r.seq == seq && r.target == from) {
             let relay = self.relays.remove(at);
-            self.send(relay.asker, Kind::Ack(relay.their_seq), actions);
+            self.send(now, relay.asker, Kind::Ack(relay.their_seq), actions);
         }
     }
 
@@ -515,8 +565,8 @@
     }
 
     /// Sends a datagram: first what is held of the receiver where it should know, then news, the least told first,
-    /// then some of the view in turn.
-    fn send(&mut self, to: MemberId, kind: Kind, actions: &mut Vec<Action>) {
+    /// then some of the view in turn; after that notes.
+    fn send(&mut self, now: Time, to: MemberId, kind: Kind, actions: &mut Vec<Action>) {
         let mut updates = Vec::new();
         let theirs = self.entry(to);
         // Also where it is held to be alive: it may have come back with an earlier incarnation than it had.
@@ -535,9 +585,11 @@
             }
         }
         let incarnation = self.members[usize::from(self.config.me)].incarnation;
-        let (bytes, count) = encode(&Head { incarnation, kind }, updates);
+        let notes = self.notes.due(now, to);
+        let (bytes, count, noted) = encode(&Head { incarnation, kind }, updates, &notes);
+        self.notes.told(&notes[..noted.min(notes.len())]);
         let told = &told[..count.saturating_sub(first).min(told.len())];
-        let most = (self.config.spread * f64::from(self.config.members + 1).log2()).ceil() as u32;
+        let most = self.config.tells();
         self.news.iter_mut().filter(|n| told.contains(&n.0.member)).for_each(|n| n.1 += 1);
         self.news.retain(|n| n.1 < most);
         self.counts.sent += 1;
--- a/src/gossip/tests.rs
+++ b/src/gossip/tests.rs
@@ -17,25 +17,41 @@
     prop::collection::vec(update, 0..60)
 }
 
+fn notes() -> impl Strategy<Value = Vec<Note>> {
+    let bytes = prop::collection::vec(any::<u8>(), 0..=Note::LARGEST);
+    let note = (0u16..400, 0u64..ABSURD, any::<u32>(), any::<u16>(), bytes);
+    let note = note.prop_map(|(member, incarnation, sequence, age_ms, bytes)| Note {
+        member,
+        incarnation,
+        sequence,
+        age_ms,
+        bytes,
+    });
+    prop::collection::vec(note, 0..6)
+}
+
 proptest! {
     #![proptest_config(crate::net::testing::config())]
 
     /// What is written fits, and is read as it was, up to where it had to end.
     #[test]
-    fn datagrams_fit_and_come_back(list in updates(), incarnation in 0..ABSURD, seq: u32, target: u16) {
+    fn datagrams_fit_and_come_back(list in updates(), notes in notes(), incarnation in 0..ABSURD, seq: u32, target: u16) {
         for kind in [Kind::Ping(seq), Kind::PingReq(seq, target), Kind::Ack(seq), Kind::Nack(seq), Kind::News] {
             let head = Head { incarnation, kind };
-            let (bytes, count) = encode(&head, list.iter().copied());
-            prop_assert!(bytes.len() <= LARGEST && count >= list.len().min(10));
-            prop_assert_eq!(decode(&bytes), Ok((head, list[..count].to_vec())));
+            let (bytes, count, noted) = encode(&head, list.iter().copied(), &notes);
+            // Neither keeps the other out, however long all are.
+            prop_assert!(bytes.len() <= LARGEST && count >= list.len().min(8) && noted >= notes.len().min(1));
+            prop_assert_eq!(bytes[0], if notes.is_empty() { VERSION } else { WITH_NOTES });
+            let (updates, notes) = (list[..count].to_vec(), notes[..noted].to_vec());
+            prop_assert_eq!(decode(&bytes), Ok(Datagram { head, updates, notes }));
         }
     }
 
     /// Any bytes, and any spoilt datagram, are read or refused, and change no more than what they say.
     #[test]
-    fn nothing_that_comes_panics(bytes in prop::collection::vec(any::<u8>(), 0..300), list in updates(), at: usize, to: u8) {
+    fn nothing_that_comes_panics(bytes in prop::collection::vec(any::<u8>(), 0..300), list in updates(), notes in notes(), at: usize, to: u8) {
         let mut g = Gossip::new(Config::of(0, 5), 7, 1, S);
-        let (mut spoilt, _) = encode(&Head { incarnation: 9, kind: Kind::Ping(1) }, list);
+        let (mut spoilt, ..) = encode(&Head { incarnation: 9, kind: Kind::Ping(1) }, list, &notes);
         let at = at % spoilt.len();
         spoilt[at] = to;
         let cut = spoilt[..at].to_vec();
@@ -51,6 +67,26 @@
         prop_assert!(g.members.len() == 5 && g.news.len() <= 5 && g.relays.len() <= RELAYS);
     }
 
+    /// Whatever notes come in whatever order: one a member is held, the latest, of those that live.
+    #[test]
+    fn the_latest_note_of_each_is_held(list in prop::collection::vec((0u16..7, 1u64..4, 0u32..4), 0..40)) {
+        let mut g = Gossip::new(Config::of(0, 5), 7, 1, S);
+        g.hold(S, 4, 9, State::Dead, &mut Vec::new());
+        for &(member, incarnation, sequence) in &list {
+            let note = Note { member, incarnation, sequence, age_ms: 500, bytes: vec![incarnation as u8, sequence as u8] };
+            let (bytes, ..) = encode(&Head { incarnation: 9, kind: Kind::News }, [], &[note]);
+            let mut actions = Vec::new();
+            g.received(S, 3, &bytes, &mut actions).unwrap();
+        }
+        let mut held: Vec<_> = g.notes(S + 7).map(|(m, age, b)| (m, age, b.to_vec())).collect();
+        held.sort_unstable();
+        let latest = |m| list.iter().filter(|n| n.0 == m).max();
+        let wanted: Vec<_> = (1..4).filter_map(latest).map(|n| (n.0, 500_007, vec![n.1 as u8, n.2 as u8])).collect();
+        prop_assert_eq!(held, wanted);
+        g.hold(S, 1, 9, State::Left, &mut Vec::new());
+        prop_assert!(g.notes(S).all(|n| n.0 != 1));
+    }
+
     /// Views that have heard the same of others agree, whatever the order, and however often it came.
     #[test]
     fn the_order_of_news_does_not_matter(list in updates(), swaps in prop::collection::vec((0usize..60, 0usize..60), 0..40)) {
@@ -72,9 +108,9 @@
 fn a_claim_out_of_range_and_another_version_are_refused() {
     let head = Head { incarnation: 1, kind: Kind::News };
     let claim = Update { member: 0, incarnation: ABSURD, state: State::Dead, accuser: 1 };
-    assert_eq!(decode(&encode(&head, [claim]).0), Err(Undecodable::Figure));
-    let (mut bytes, _) = encode(&head, []);
-    bytes[0] = VERSION + 1;
+    assert_eq!(decode(&encode(&head, [claim], &[]).0), Err(Undecodable::Figure));
+    let (mut bytes, ..) = encode(&head, [], &[]);
+    bytes[0] = WITH_NOTES + 1;
     assert_eq!(decode(&bytes), Err(Undecodable::Version));
     assert_eq!(decode(&[VERSION; LARGEST + 1]), Err(Undecodable::Length));
 }
@@ -107,7 +143,7 @@
                 Action::Send { to, bytes } if self.on_way.len() < ON_WAY => {
                     self.on_way.push((by as MemberId, to, bytes));
                 }
-                Action::Send { .. } => {}
+                Action::Send { .. } | Action::Noted { .. } => {}
                 Action::Changed { member, state, .. } => {
                     let heard = self.heard[by][usize::from(member)];
                     let lately = heard.is_some_and(|t| self.now - t < self.members[by].least());
@@ -199,9 +235,9 @@
 #[test]
 fn hearing_one_that_others_hold_to_be_dead_keeps_it_alive_here_and_it_is_told() {
     let mut g = Gossip::new(Config::of(0, 3), 10, 1, S);
-    let ping = encode(&Head { incarnation: 5, kind: Kind::Ping(1) }, []).0;
+    let ping = encode(&Head { incarnation: 5, kind: Kind::Ping(1) }, [], &[]).0;
     let dead = Update { member: 2, incarnation: 5, state: State::Dead, accuser: 1 };
-    let news = encode(&Head { incarnation: 6, kind: Kind::News }, [dead]).0;
+    let news = encode(&Head { incarnation: 6, kind: Kind::News }, [dead], &[]).0;
     let mut actions = Vec::new();
     g.received(S, 2, &ping, &mut actions).unwrap();
     g.received(S + 1, 1, &news, &mut actions).unwrap();
@@ -209,7 +245,7 @@
     actions.clear();
     g.received(S + 2, 2, &ping, &mut actions).unwrap();
     let Some(Action::Send { to: 2, bytes }) = actions.pop() else { panic!("{actions:?}") };
-    let told = decode(&bytes).unwrap().1;
+    let told = decode(&bytes).unwrap().updates;
     assert!(
         told.iter().any(|u| u.member == 2 && u.state == State::Suspect),
         "so that it can deny it: {told:?}"
@@ -221,9 +257,9 @@
 #[test]
 fn a_suspicion_does_not_end_in_death_while_the_member_is_heard_and_does_once_it_is_not() {
     let mut g = Gossip::new(Config::of(0, 3), 10, 1, S);
-    let ping = encode(&Head { incarnation: 5, kind: Kind::Ping(1) }, []).0;
+    let ping = encode(&Head { incarnation: 5, kind: Kind::Ping(1) }, [], &[]).0;
     let accused = Update { member: 2, incarnation: 5, state: State::Suspect, accuser: 1 };
-    let news = encode(&Head { incarnation: 6, kind: Kind::News }, [accused]).0;
+    let news = encode(&Head { incarnation: 6, kind: Kind::News }, [accused], &[]).0;
     let mut actions = Vec::new();
     g.received(S, 1, &news, &mut actions).unwrap();
     for step in 1..100 {
@@ -235,3 +271,49 @@
     g.tick(11 * S + g.least(), &mut actions);
     assert_eq!(g.members[2].state, State::Dead);
 }
+
+/// The versions of the datagrams sent, and the notes that go along.
+fn sent(actions: &[Action]) -> Vec<(u8, Vec<Note>)> {
+    let sent =
+        actions.iter().filter_map(|a| if let Action::Send { bytes, .. } = a { Some(bytes) } else { None });
+    sent.map(|b| (b[0], decode(b).unwrap().notes)).collect()
+}
+
+fn sends(g: &mut Gossip, now: Time) -> Vec<(u8, Vec<Note>)> {
+    let mut actions = Vec::new();
+    g.tick(now, &mut actions);
+    sent(&actions)
+}
+
+#[test]
+fn a_changed_note_is_told_at_once_within_a_bound_ages_on_its_way_and_goes_in_the_end() {
+    let mut g = Gossip::new(Config::of(0, 9), 7, 1, S);
+    assert!(sends(&mut g, S).iter().all(|s| s.0 == VERSION), "who has no note speaks as before");
+    // Once changed, however often that is within a period.
+    g.set_note(S, Some(vec![1; 65]));
+    assert_eq!(g.next(), S + g.config.timeout, "too long: none");
+    (0..20).for_each(|n| g.set_note(S + n, Some(vec![n as u8])));
+    assert_eq!(g.next(), S);
+    assert_eq!(sends(&mut g, S + 20).len(), notes::EXTRA);
+    (20..40).for_each(|n| g.set_note(S + n, Some(vec![n as u8])));
+    assert!(sends(&mut g, S + 50).is_empty());
+    // One that comes from another is told with its own age, and what it was held for.
+    let note = Note { member: 2, incarnation: 9, sequence: 1, age_ms: 1_500, bytes: vec![5; 64] };
+    let (bytes, ..) = encode(&Head { incarnation: 9, kind: Kind::Ping(1) }, [], &[note]);
+    let mut actions = Vec::new();
+    g.received(2 * S, 3, &bytes, &mut actions).unwrap();
+    assert!(actions.contains(&Action::Noted { member: 2 }));
+    let told = |sent: Vec<(u8, Vec<Note>)>| sent.into_iter().flat_map(|s| s.1).find(|n| n.member == 2);
+    let aged = told(sends(&mut g, 3 * S)).map(|n| n.age_ms);
+    assert_eq!(aged, Some(2_500));
+    assert_eq!(g.notes(3 * S).collect::<Vec<_>>(), [(2, 2_500_000, &[5; 64][..])]);
+    // Too old to be told, then too old to be kept.
+    for second in 11..70 {
+        let (ping, ..) = encode(&Head { incarnation: 9, kind: Kind::Ping(1) }, [], &[]);
+        let mut acks = Vec::new();
+        (1..9).for_each(|from| g.received(second * S, from, &ping, &mut acks).unwrap());
+        assert_eq!(told(sent(&acks)), None, "{second}");
+        assert_eq!(told(sends(&mut g, second * S)), None, "{second}");
+        assert_eq!(g.notes(0).any(|n| n.0 == 2), second <= 60, "{second}");
+    }
+}
--- a/src/net/doorman/peers.rs
+++ b/src/net/doorman/peers.rs
@@ -179,6 +179,7 @@
                     }
                     peers.queue.push_back((to, bytes));
                 }
+                Action::Noted { .. } => {}
                 Action::Changed { member, state: Held::Alive, incarnation } => {
                     debug!(self.log, "doorman seen"; "member" => member, "incarnation" => incarnation);
                 }
