--- a/src/gossip/notes.rs
+++ b/src/gossip/notes.rs
@@ -113,9 +113,9 @@
         due
     }
 
-    /// What goes along with a datagram to `to`, the least told first.
+    /// What goes along with a datagram to `to`: the least told first, of those the youngest.
     pub(super) fn due(&mut self, now: Time, to: MemberId) -> Vec<Note> {
-        self.held.sort_by_key(|h| h.told);
+        self.held.sort_by_key(|h| (h.told, h.age(now)));
         let tells = |h: &&Held| h.told < self.most && h.member != to && h.age(now) <= TOLD_UNTIL;
         let note = |h: &Held| Note {
             member: h.member,
--- a/src/gossip/tests.rs
+++ b/src/gossip/tests.rs
@@ -83,6 +83,8 @@
         let latest = |m| list.iter().filter(|n| n.0 == m).max();
         let wanted: Vec<_> = (1..4).filter_map(latest).map(|n| (n.0, 500_007, vec![n.1 as u8, n.2 as u8])).collect();
         prop_assert_eq!(held, wanted);
+        g.hold(S, 1, 9, State::Left, &mut Vec::new());
+        prop_assert!(g.notes(S).all(|n| n.0 != 1));
     }
 
     /// Views that have heard the same of others agree, whatever the order, and however often it came.
@@ -270,15 +272,19 @@
     assert_eq!(g.members[2].state, State::Dead);
 }
 
-/// What a tick has the member send, and the notes that go along.
-fn sends(g: &mut Gossip, now: Time) -> Vec<(u8, Vec<Note>)> {
-    let mut actions = Vec::new();
-    g.tick(now, &mut actions);
+/// The versions of the datagrams sent, and the notes that go along.
+fn sent(actions: &[Action]) -> Vec<(u8, Vec<Note>)> {
     let sent =
         actions.iter().filter_map(|a| if let Action::Send { bytes, .. } = a { Some(bytes) } else { None });
     sent.map(|b| (b[0], decode(b).unwrap().notes)).collect()
 }
 
+fn sends(g: &mut Gossip, now: Time) -> Vec<(u8, Vec<Note>)> {
+    let mut actions = Vec::new();
+    g.tick(now, &mut actions);
+    sent(&actions)
+}
+
 #[test]
 fn a_changed_note_is_told_at_once_within_a_bound_ages_on_its_way_and_goes_in_the_end() {
     let mut g = Gossip::new(Config::of(0, 9), 7, 1, S);
@@ -304,7 +310,9 @@
     // Too old to be told, then too old to be kept.
     for second in 11..70 {
         let (ping, ..) = encode(&Head { incarnation: 9, kind: Kind::Ping(1) }, [], &[]);
-        (1..9).for_each(|from| g.received(second * S, from, &ping, &mut Vec::new()).unwrap());
+        let mut acks = Vec::new();
+        (1..9).for_each(|from| g.received(second * S, from, &ping, &mut acks).unwrap());
+        assert_eq!(told(sent(&acks)), None, "{second}");
         assert_eq!(told(sends(&mut g, second * S)), None, "{second}");
         assert_eq!(g.notes(0).any(|n| n.0 == 2), second <= 60, "{second}");
     }
