--- a/src/growth/ahead.rs
+++ b/src/growth/ahead.rs
@@ -16,6 +16,9 @@
 /// See above.
 const SLICE_SHARDS: usize = 200;
 
+/// Documents removed in one transaction: with the base that takes their place, fewer than a registry's bound of 128.
+const MOST_OLD: usize = 100;
+
 /// Load and kept kilobytes of one shard, by where it begins.
 pub type Load = (u64, f64, f64);
 
@@ -188,6 +191,18 @@
         self.wishes.clone()
     }
 
+    /// Documents of this zone whose buckets the history no longer reaches, at most [`MOST_OLD`], with the one document
+    /// that is to be written as they are removed: it holds all of them. `None`: there is nothing to remove.
+    pub fn old<'a>(&self, keys: impl Iterator<Item = &'a str>) -> Option<((String, Vec<u8>), Vec<String>)> {
+        let base = self.merged.base()?;
+        let (key, oldest) = (base.key(&self.zone), self.merged.oldest());
+        let below = Ahead::below(&self.zone);
+        let bucket = |k: &str| k.strip_prefix(&below)?.split('/').next()?.parse::<u64>().ok();
+        let old = keys.filter(|k| *k != key && bucket(k).is_some_and(|b| b <= oldest));
+        let old: Vec<String> = old.take(MOST_OLD).map(str::to_owned).collect();
+        (!old.is_empty()).then(|| ((key, base.encode()), old))
+    }
+
     /// The schedule to be written, once each time that it has changed.
     pub fn schedule(&mut self) -> Option<Vec<u8>> {
         self.schedule.take()
@@ -198,3 +213,42 @@
         &self.zone
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::super::buckets::Growth;
+    use super::*;
+    use std::collections::BTreeMap;
+
+    /// What a registry then holds after a long time is bounded, and a planner that begins with it knows as much.
+    #[test]
+    fn old_buckets_go_into_one_document_and_nothing_is_taken_for_new() {
+        let settings = Settings { bucket: 1_000_000, buckets: 8, ..Settings::default() };
+        let (mut ahead, mut kept) =
+            (Ahead::new(settings.clone(), "edge"), BTreeMap::<String, Vec<u8>>::new());
+        let mut growth = Growth::new(settings.clone(), "edge", "n1", 1);
+        for second in 0..40u64 {
+            let now_ms = 1_000_000 + second * 1_000;
+            growth.close(now_ms);
+            (0..50).for_each(|n| growth.wanted(second * 50 + n, 10.0, true, false));
+            while let Some((key, value)) = growth.next() {
+                ahead.document(&value, now_ms).unwrap();
+                growth.written(&key);
+                kept.insert(key, value);
+            }
+            if let Some(((key, value), old)) = ahead.old(kept.keys().map(String::as_str)) {
+                old.iter().for_each(|k| drop(kept.remove(k)));
+                kept.insert(key, value);
+            }
+            assert!(kept.len() <= 9, "{:?}", kept.keys());
+        }
+        let mut next = Ahead::new(settings.clone(), "edge");
+        kept.values().for_each(|value| next.document(value, 2_000_000).unwrap());
+        let level = |a: &Ahead| {
+            let cells: Vec<Cell> = (0..CELLS).filter_map(|n| a.merged.cell(n)).collect();
+            a.merged.series(&cells, 0, u64::MAX).last().map(|p| p.objects)
+        };
+        assert!(level(&ahead).is_some_and(|o| (1_800.0..2_100.0).contains(&o)), "{:?}", level(&ahead));
+        assert_eq!(level(&next), level(&ahead));
+    }
+}
--- a/src/net/doorman/peers.rs
+++ b/src/net/doorman/peers.rs
@@ -172,7 +172,10 @@
     pub(super) fn heard_notes(&self) -> Vec<fleet::Heard> {
         let Some(peers) = &self.peers else { return Vec::new() };
         let read = |(member, age, bytes): (MemberId, Time, &[u8])| {
-            Some((member, age, crate::sites::note::Note::decode(bytes).ok()?))
+            let note = crate::sites::note::Note::decode(bytes);
+            let said =
+                note.as_ref().map_err(|e| debug!(self.log, "note not read"; "member" => member, "why" => %e));
+            said.ok().cloned().map(|note| (member, age, note))
         };
         peers.gossip.notes(self.now).filter_map(read).collect()
     }
--- a/src/net/doorman/shards.rs
+++ b/src/net/doorman/shards.rs
@@ -13,6 +13,7 @@
 use crate::placement::planner::{map_key, moves_key, Answer as Settled, Planner, View};
 use crate::placement::quiet::Calendar;
 use crate::placement::rebalance::Place;
+use crate::placement::snapshot::{self, Saver};
 use crate::placement::Settings;
 use crate::registry::documents::driver::DocumentsDriver;
 use crate::registry::documents::{Answer, Expect, Transaction};
@@ -58,6 +59,7 @@
     zone: Zone,
     driver: DocumentsDriver,
     follower: Follower,
+    saver: Option<Saver>,
     homes: Arc<[Home]>,
     zones: BTreeMap<Zone, Zoned>,
     growth: Option<Growth>,
@@ -68,6 +70,8 @@
     forecast: Time,
     stepped: Time,
     sliced: Time,
+    /// When a bucket was last written.
+    saved: Time,
     leads: bool,
     /// Steps of moves that were committed, splits and merges among them.
     committed: u64,
@@ -102,6 +106,20 @@
         };
         let incarnation = doorman.clock.unix_ms(now);
         let own = names.get(zone).map_or("", String::as_str);
+        let folder = settings.snapshot.clone();
+        let kept = folder.as_deref().map(|f| snapshot::load(f, zone as u16));
+        let follower = match kept {
+            Some(Err(e)) => {
+                warn!(doorman.log, "begins without a map of shards"; "why" => %e);
+                Follower::new(zone as u16)
+            }
+            Some(Ok(follower)) => follower,
+            None => Follower::new(zone as u16),
+        };
+        let saver = folder.and_then(|f| {
+            let failed = |e| warn!(doorman.log, "keeps no map of shards on disk"; "why" => %e);
+            Saver::start(f, zone as u16).map_err(failed).ok()
+        });
         let mut shards = Shards {
             zones: (0..names.len()).filter_map(zoned).collect(),
             growth: growth.map(|g| Growth::new(g, own, name, incarnation)),
@@ -109,13 +127,15 @@
             calendar: product.calendar.clone(),
             zone,
             driver,
-            follower: Follower::new(zone as u16),
+            follower,
+            saver,
             homes: Arc::default(),
             out: FxHashMap::default(),
             number: 0,
             forecast: product.growth.as_ref().map_or(FORECAST, |g| g.bucket.clamp(STEP, FORECAST)),
             stepped: 0,
             sliced: 0,
+            saved: now,
             leads: false,
             committed: 0,
             refused: 0,
@@ -126,6 +146,9 @@
         if shards.calendar.quiet.is_empty() {
             warn!(doorman.log, "no quiet hours are set: no shard ever moves; set quiet()");
         }
+        if shards.growth.is_none() {
+            warn!(doorman.log, "nothing is measured of the shards: none ever moves or splits; set growth()");
+        }
         shards
     }
 
@@ -240,7 +263,8 @@
     /// Takes what has changed in the registry; whether the map of this zone has.
     fn follow(&mut self, doorman: &Doorman, fleet: &Fleet) -> bool {
         if self.driver.revision() == 0 {
-            return false;
+            // The map of the snapshot holds until the registry was read.
+            return self.homes.is_empty() && self.follower.epoch() > 0;
         }
         let changes = self.driver.changes();
         let key = map_key("", self.zone as u16);
@@ -249,8 +273,14 @@
             match self.follower.take(self.driver.get(&key).map(|d| d.value.as_slice())) {
                 Some(Applied::Applied(epoch)) => {
                     info!(doorman.log, "map of shards applied"; "epoch" => epoch);
+                    if let (Some(saver), Some(map)) = (&self.saver, self.follower.map()) {
+                        let _ = saver.save(map);
+                    }
                     changed = true;
                 }
+                Some(Applied::Unusable(e)) => {
+                    warn!(doorman.log, "map of shards stays as it is"; "epoch" => self.follower.epoch(), "why" => %e);
+                }
                 Some(trouble) => warn!(doorman.log, "map of shards stays as it is"; "why" => ?trouble),
                 None => {}
             }
@@ -332,8 +362,12 @@
         let now_ms = doorman.clock.unix_ms(doorman.now);
         let closed = growth.close(now_ms);
         let waits = self.out.values().any(|o| matches!(o, Out::Bucket(_)));
-        let next = growth.next().filter(|_| !waits);
+        // The open bucket too, now and then: what was wanted must not be lost with the process.
+        let saves = doorman.now >= self.saved + self.forecast;
+        let current = growth.current().filter(|_| saves);
+        let next = growth.next().or(current).filter(|_| !waits);
         if let Some((key, value)) = next {
+            self.saved = doorman.now;
             let transaction = Transaction { puts: vec![(key.clone(), value)], ..Transaction::default() };
             self.submit(doorman, Out::Bucket(key), transaction);
         }
@@ -367,7 +401,7 @@
             zoned.planner.documents(document(&map), document(&moves), &mut notices);
         }
         let read = self.driver.get(&map).and_then(|d| ShardMap::decode(&d.value, zone as u16).ok());
-        let mut schedule = None;
+        let (mut schedule, mut old) = (None, None);
         if let (Some(ahead), Some(map), Some(_)) = (&mut zoned.ahead, &read, fence) {
             let key = Ahead::schedule_key(name);
             if ahead.done() && zoned.forecast.is_none_or(|at| doorman.now >= at + self.forecast) {
@@ -383,8 +417,11 @@
                 }
             }
             schedule = ahead.schedule().map(|value| (key, value));
+            old = ahead.old(self.driver.below(&Ahead::below(name)).map(|d| d.0));
         }
-        let sites: Vec<_> = (0..names.len()).map(|z| fleet.site(z)).collect();
+        // What a zone's plan touches: itself, and the hubs that its fills come from.
+        let hubs = fleet.members().filter(|m| m.role == Role::Parent).map(|m| m.zone);
+        let sites: Vec<_> = hubs.chain([zone]).map(|z| fleet.site(z)).collect();
         let mut doormans: Vec<Option<u32>> =
             heard.iter().filter(|h| usize::from(h.2.zone) == zone).map(|h| Some(h.2.epoch)).collect();
         // Danger: a doorman that is seen and has said nothing may be of any zone, and have no map.
@@ -424,10 +461,16 @@
             };
             self.submit(doorman, Out::Planner(zone, write.id), fenced(transaction, write.fence));
         }
-        if let (Some(put), Some(fence)) = (schedule, fence) {
+        let Some(fence) = fence else { return };
+        if let Some(put) = schedule {
             let transaction = Transaction { puts: vec![put], ..Transaction::default() };
             self.submit(doorman, Out::Latest, fenced(transaction, fence));
         }
+        if let Some((base, deletes)) = old {
+            debug!(doorman.log, "old buckets go"; "zone" => name, "keys" => deletes.len());
+            let transaction = Transaction { puts: vec![base], deletes, ..Transaction::default() };
+            self.submit(doorman, Out::Latest, fenced(transaction, fence));
+        }
     }
 
     /// A request was answered: its work counts, and its object if it was newly wanted.
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -11,6 +11,7 @@
 pub mod planner;
 pub mod quiet;
 pub mod rebalance;
+pub mod snapshot;
 
 use crate::interface::Time;
 use std::net::SocketAddr;
--- a/src/registry/documents/driver.rs
+++ b/src/registry/documents/driver.rs
@@ -59,7 +59,10 @@
         now: Time,
         log: Logger,
     ) -> Self {
-        let settings = Settings::new(endpoints.len(), prefix);
+        // Danger: a planner counts on its transactions being done or dead within a lease: sent and answered each
+        // within half of that.
+        let usual = Settings::new(endpoints.len(), prefix);
+        let settings = Settings { answer: usual.answer.min(lease / 2), ..usual };
         DocumentsDriver {
             log,
             endpoints,
