--- a/src/logic.rs
+++ b/src/logic.rs
@@ -40,8 +40,8 @@
 const ALL_ERRORS: u32 = 3;
 /// Least rate used to share out blame, so that two servers without a record share it evenly.
 const BLAME_FLOOR: f64 = 0.02;
-/// Part of the work of parents that the origin bears at first sight.
-const MISS_PART: f64 = 0.5;
+/// Part of the work of parents that the origin bears at first sight; all of it is the most that it is sent.
+const MISS_PART: f64 = 0.2;
 /// Part of a location's work that its link in is built for: the misses, with room to spare.
 const LINK_PART: f64 = 0.5;
 /// Roots of a limit that may be out above it for a moment, while its average keeps it.
@@ -515,10 +515,10 @@
     fn room(&mut self, s: usize, in_time: bool, faster: f64) {
         let next = f64::from(self.servers[s].out + u32::from(self.servers[s].limit >= 1.0));
         let used = self.usual(s).max(next);
-        let (now, server) = (self.now, &mut self.servers[s]);
+        let (now, origin, server) = (self.now, self.origin() == Some(s), &mut self.servers[s]);
         if in_time {
             server.share = (server.share + SHARE_STEP).min(1.0);
-            if used >= server.limit / 2.0 {
+            if used >= server.limit / 2.0 && !(origin && server.limit >= server.fair / MISS_PART) {
                 server.limit += (1.0 / server.limit).min(server.limit * MOST_RISE * faster);
             }
         } else if server.late > LATE_BORNE && now >= server.cut.saturating_add(LIMIT_PAUSE) {
