--- a/src/logic.rs
+++ b/src/logic.rs
@@ -40,7 +40,7 @@
 const ALL_ERRORS: u32 = 3;
 /// Least rate used to share out blame, so that two servers without a record share it evenly.
 const BLAME_FLOOR: f64 = 0.02;
-/// Part of the work of parents that the origin bears at first sight; all of it is the most that it is sent.
+/// Part of the work of parents that the origin bears at first sight: what they lack, and what passes them by.
 const MISS_PART: f64 = 0.2;
 /// Part of a location's work that its link in is built for: the misses, with room to spare.
 const LINK_PART: f64 = 0.5;
@@ -518,7 +518,9 @@
         let (now, origin, server) = (self.now, self.origin() == Some(s), &mut self.servers[s]);
         if in_time {
             server.share = (server.share + SHARE_STEP).min(1.0);
-            if used >= server.limit / 2.0 && !(origin && server.limit >= server.fair / MISS_PART) {
+            // Danger: hundreds of routers each learn of the origin's line too late, and all raise their limits.
+            let whole = origin && server.fair < 1.0 && server.limit >= server.fair / MISS_PART;
+            if used >= server.limit / 2.0 && !whole {
                 server.limit += (1.0 / server.limit).min(server.limit * MOST_RISE * faster);
             }
         } else if server.late > LATE_BORNE && now >= server.cut.saturating_add(LIMIT_PAUSE) {
@@ -696,10 +698,8 @@
         let none_here = self.guide.straight() || self.serving(Role::Cache).is_empty();
         let server =
             self.pick_cache(open).or_else(|| source.filter(|_| none_here && self.settings.direct))?;
-        let source = match source == Some(server) {
-            true => self.pick_origin(open).filter(|&o| o != server && !held_only),
-            false => source,
-        };
+        let fills = || self.pick_origin(open).filter(|&o| o != server && !held_only);
+        let source = if source == Some(server) { fills() } else { source };
         let fetch = self.fetch(open, class, source.unwrap_or(server), held_only);
         Some((server, source, Some(fetch)))
     }
--- a/tests/many_routers.rs
+++ b/tests/many_routers.rs
@@ -433,3 +433,32 @@
         assert!(sends(&actions) != (refused(&actions) || failed(&actions)), "without {role:?}: {actions:?}");
     }
 }
+
+/// Guards the origin: of its line one router of hundreds sees too little, and what each takes more adds up.
+#[test]
+fn what_all_of_many_routers_send_the_origin_stays_within_the_parents_whole_work() {
+    let many = 300;
+    let mut router = router_with(Settings { routers: many, ..settings() }, fleet());
+    // No parent has room: all goes past them.
+    let none = |n| larchdale::guidance::Bound { server: format!("parent-{n}").as_str().into(), rate: 0.0 };
+    let guidance = Guidance { bounds: (0..3).map(none).collect(), ..Guidance::default() };
+    tell(&mut router, T0, Event::Guidance(std::sync::Arc::new(guidance)));
+    let (mut out, mut busy) = (std::collections::VecDeque::new(), 0);
+    let (step, lasts, asked) = (20 * MS, 300 * MS, 4_000);
+    for n in 0..asked {
+        let (now, id) = (T0 + n * step, format!("r{n}"));
+        let actions = ask(&mut router, now, &id, VIDEO, n);
+        if sends(&actions) {
+            busy += if sent(&actions).1 == "origin" { lasts } else { 0 };
+            out.push_back((now + lasts, id));
+        }
+        while out.front().is_some_and(|o: &(Time, String)| o.0 <= now + step) {
+            let Some((at, id)) = out.pop_front() else { break };
+            // In time, however many: this one router sees nothing of the line.
+            let done = Outcome { note: Note::Filled, took: lasts, ..end(&id, 0, Code::Served) };
+            tell(&mut router, at, Event::Outcome(done));
+        }
+    }
+    let (whole, mean) = (3.0 * 30.0 / f64::from(many), busy as f64 / (asked * step) as f64);
+    assert!(mean > whole / 4.0 && mean < whole * 1.3, "{mean} of {whole} under way on average");
+}
