--- a/src/placement/planner.rs
+++ b/src/placement/planner.rs
@@ -10,6 +10,9 @@
 //! two planners, lost answers and late ones do, a change is made from exactly the state that it was decided on, or not
 //! at all. After an answer that is unknown or a refusal nothing is decided before both documents are read again.
 
+#[cfg(test)]
+mod tests;
+
 use super::error::PlacementError;
 use super::map::{warm_kb_s, ShardMap};
 use super::moves::{Change, Move, Moves, Step, MOST_CHANGES, MOST_MOVES};
--- a/src/placement/rebalance.rs
+++ b/src/placement/rebalance.rs
@@ -10,8 +10,10 @@
 const ROOM: f64 = 0.25;
 /// Least filled boxes that are weighed as the target of a move.
 const TARGETS: usize = 8;
-/// Least part of the excess that a move has to take away.
-const GAIN: f64 = 0.001;
+/// Shards of one box that are weighed for each move: beyond, those with the most load for a kilobyte.
+const WEIGHED: usize = 256;
+/// Least excess that a move has to take away, as a part of all load or bytes.
+const GAIN: f64 = 1e-7;
 
 /// A box of the zone.
 #[derive(Clone, Debug, PartialEq)]
@@ -181,6 +183,10 @@
         for (n, home) in self.home.iter().enumerate() {
             home.filter(|_| !self.shards[n].rests).into_iter().for_each(|h| at[h].push(n));
         }
+        for shards in at.iter_mut().filter(|s| s.len() > WEIGHED) {
+            let density = |s: usize| self.size[s][0] / self.kb(s);
+            shards.sort_by(|a, b| density(*b).total_cmp(&density(*a)).then(a.cmp(b)));
+        }
         let (mut picks, mut room, mut stuck) = (Vec::new(), limits.kb, vec![false; self.part.len()]);
         while picks.len() < limits.moves {
             let open = (0..self.part.len()).filter(|&p| !stuck[p] && self.part[p] > 0.0);
@@ -192,11 +198,11 @@
             let excess = self.over(from, self.held[from]);
             let targets = self.targets(TARGETS);
             let mut best: Option<([f64; 2], usize, usize)> = None;
-            for &shard in &at[from] {
+            for &shard in at[from].iter().take(WEIGHED) {
                 let kb = self.kb(shard);
                 for &to in targets.iter().filter(|&&to| to != from && kb <= room) {
                     let gain = self.gain(self.size[shard], from, to);
-                    if gain <= excess * GAIN {
+                    if gain <= GAIN {
                         continue;
                     }
                     let score = match by {
@@ -225,6 +231,9 @@
     /// Takes moves back that are not needed, and puts a cheaper shard of the same box in another's place.
     fn thin(&mut self, picks: &mut Vec<Pick>, origin: &[Option<usize>]) {
         let most = self.excess() + 1e-12;
+        if most > 1e-9 {
+            return; // none of them is too many
+        }
         picks.sort_by(|a, b| b.kb.total_cmp(&a.kb).then(a.shard.cmp(&b.shard)));
         let mut n = 0;
         while n < picks.len() {
@@ -275,29 +284,38 @@
             let step = |x: f64| (x * 1e6) as u64;
             step(a.0).cmp(&step(b.0)).then(a.1.total_cmp(&b.1))
         };
-        return tried.into_iter().min_by(order).map(|t| t.2).unwrap_or_default();
+        let best = tried.into_iter().min_by(order).map(|t| t.2).unwrap_or_default();
+        if !best.is_empty() {
+            return best;
+        }
     }
     adopt(board, limits)
 }
 
+/// Few large shards put a box above the rest while the others have no home yet; what counts is that it will be within
+/// once all have one.
 fn adopt(mut board: Board, limits: &Limits) -> Vec<Pick> {
     let (mut picks, mut room) = (Vec::new(), limits.kb);
+    let mut homed = vec![[0.0; 2]; board.part.len()];
+    for (home, size) in board.home.iter().zip(&board.size) {
+        home.iter().for_each(|&h| (0..2).for_each(|d| homed[h][d] += size[d]));
+    }
     for shard in 0..board.shards.len() {
         if picks.len() >= limits.moves {
             break;
         }
-        let (load, kb) = (&board.shards[shard], board.kb(shard));
+        let (load, kb, size) = (&board.shards[shard], board.kb(shard), board.size[shard]);
         // A home that is known and doesn't serve now is kept: it may be back at once.
         if load.home.is_some() || load.rests || kb > room {
             continue;
         }
         let Some(&to) = board.targets(1).first() else { break };
-        let before = board.clone();
-        board.put(shard, to);
-        if board.filled(to) > board.limit {
-            board = before;
+        let with = [homed[to][0] + size[0], homed[to][1] + size[1]];
+        if board.over(to, with) > 0.0 {
             continue;
         }
+        board.put(shard, to);
+        homed[to] = with;
         room -= kb;
         picks.push(Pick { shard, to, kb });
     }
@@ -346,8 +364,8 @@
         least
     }
 
-    /// Over 300 small cases: brought within in 19 of 20 of those that can be, and by at most 1.25 of the least bytes
-    /// in sum and three times in any one.
+    /// Over 300 small cases: brought within in 19 of 20 of those that can be, by at most 1.05 of the least bytes
+    /// in sum and twice in any one.
     #[test]
     fn few_bytes_are_moved_against_the_least_possible() {
         let mut rng = Pcg32::seed_from_u64(5);
@@ -375,7 +393,7 @@
         }
         println!("{done} of {can}, {:.3} of the least, worst {worst:.2}", ours / best);
         assert!(can > 100 && done * 20 >= can * 19, "{done} of {can}");
-        assert!(ours <= best * 1.25 && worst <= 3.0, "{ours} against {best}, worst {worst}");
+        assert!(ours <= best * 1.05 && worst <= 2.0, "{ours} against {best}, worst {worst}");
     }
 
     proptest! {
