Shards: tests of site states, of few shards without homes, and a closer bound on moved bytes

With the rule taken out, the tests before this still passed for four: that a site in doubt takes a warming move back, that shards get homes though a box is above the spread, that starts ascend, and that moves are thinned. Each has a check now.

--- a/src/placement/map.rs
+++ b/src/placement/map.rs
@@ -276,6 +276,12 @@
         bytes[1] = 2;
         let told = ShardMap::decode(&bytes, 3);
         assert!(matches!(told, Err(PlacementError::Format { format: 2, known: 1, .. })), "{told:?}");
+        for starts in [vec![], vec![1], vec![0, 5, 5]] {
+            let shard = |start| Shard { start, home: None, warming: None };
+            let shards = starts.into_iter().map(shard).collect();
+            let told = ShardMap::decode(&ShardMap { zone: 3, epoch: 1, shards }.encode(), 3);
+            assert!(matches!(told, Err(PlacementError::Broken { .. })), "{told:?}");
+        }
         let mut map = ShardMap::first(3, 1, MOST_SHARDS);
         for (n, shard) in map.shards.iter_mut().enumerate() {
             shard.home = Some(format!("a-box-with-a-long-name-{}", n % 200).into());
--- a/src/placement/planner/tests.rs
+++ b/src/placement/planner/tests.rs
@@ -17,6 +17,7 @@
     now: Time,
     unix_ms: u64,
     skew_ms: u64,
+    site: Site,
     revision: i64,
 }
 
@@ -42,6 +43,7 @@
             now: 0,
             unix_ms: START,
             skew_ms: 0,
+            site: Site::Serving,
             revision: 10,
         }
     }
@@ -59,7 +61,7 @@
                 unix_ms: self.unix_ms,
                 skew_ms: self.skew_ms,
                 fence: Some(5),
-                sites: &[Site::Serving],
+                sites: &[Site::Serving, self.site],
                 doormans: &[epoch],
                 most_doormans: 1,
                 held: None,
@@ -119,6 +121,10 @@
     long.loads.iter_mut().for_each(|l| l.2 = 300.0 * 100.0);
     long.until(500);
     assert_eq!(long.count(|n| matches!(n, Notice::Begun(..))), 0);
+    let mut returns = Zone::new();
+    returns.site = Site::Returning { step: 1 };
+    returns.until(500);
+    assert_eq!(returns.count(|n| matches!(n, Notice::Begun(..))), 0);
     let mut apart = Zone::new();
     apart.skew_ms = 2_001;
     apart.until(500);
@@ -129,7 +135,8 @@
 #[test]
 fn what_goes_wrong_in_warming_takes_it_back() {
     type Wrong = fn(&mut Zone);
-    let wrongs: [(Wrong, Why); 3] = [
+    let wrongs: [(Wrong, Why); 4] = [
+        (|z| z.site = Site::Doubtful, Why::Site),
         (|z| z.unix_ms += 60_000, Why::ClockStepped),
         (|z| z.boxes.iter_mut().for_each(|b| b.serves = false), Why::TargetGone),
         (|z| z.calendar = Calendar::default(), Why::WindowEnds),
--- a/src/placement/rebalance.rs
+++ b/src/placement/rebalance.rs
@@ -364,8 +364,8 @@
         least
     }
 
-    /// Over 300 small cases: brought within in 19 of 20 of those that can be, by at most 1.05 of the least bytes
-    /// in sum and twice in any one.
+    /// Over 300 small cases: brought within in 19 of 20 of those that can be, by at most 1.02 of the least bytes
+    /// in sum and 1.5 times in any one.
     #[test]
     fn few_bytes_are_moved_against_the_least_possible() {
         let mut rng = Pcg32::seed_from_u64(5);
@@ -393,7 +393,7 @@
         }
         println!("{done} of {can}, {:.3} of the least, worst {worst:.2}", ours / best);
         assert!(can > 100 && done * 20 >= can * 19, "{done} of {can}");
-        assert!(ours <= best * 1.05 && worst <= 2.0, "{ours} against {best}, worst {worst}");
+        assert!(ours <= best * 1.02 && worst <= 1.5, "{ours} against {best}, worst {worst}");
     }
 
     proptest! {
@@ -451,6 +451,13 @@
             picks.iter().for_each(|p| shards[p.shard].home = Some(p.to));
         }
         assert_eq!(shards.iter().filter(|s| s.home == Some(2)).count(), 32);
+        let mut few = vec![Load { home: None, ..load(0, 1.0, 5.0) }; 4];
+        for _ in 0..4 {
+            let picks = rebalance(&few, &places, &Limits { moves: 1, ..limits });
+            assert_eq!(picks.len(), 1);
+            few[picks[0].shard] =
+                Load { home: Some(picks[0].to), rests: true, ..few[picks[0].shard].clone() };
+        }
         assert!(rebalance(&shards, &places, &limits).is_empty());
     }
 }
