Faultnet: TCP ways from doormans to servers that are cut, slowed, reset or refused

The loss of a site has to be shown on the ways to depots and registry too, which the relay of datagrams does not hold.

--- a/crates/faultnet/src/lib.rs
+++ b/crates/faultnet/src/lib.rs
@@ -1,8 +1,9 @@
 //! What happens to datagrams between processes, by a seeded schedule: lost, late, twice, out of turn, or cut off for
 //! a while, in one direction or both. [`Schedule`] decides and is used by simulated networks too; [`relay`] does it
-//! to real processes on loopback.
+//! to real processes on loopback, [`ways`] to their TCP connections.
 
 pub mod relay;
+pub mod ways;
 
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
@@ -137,6 +138,11 @@
         }
         delays.into_iter().enumerate().map(|(copy, d)| d + delay + copy as u64 * 500).collect()
     }
+
+    /// Whether a link is cut off, so that nothing comes however often it is sent.
+    pub fn cut(&self, at_ms: u64, from: usize, to: usize) -> bool {
+        self.schedule.rules.iter().any(|r| r.drop >= 1.0 && r.binds(at_ms, from, to))
+    }
 }
 
 #[cfg(test)]
