--- a/src/growth/ahead.rs
+++ b/src/growth/ahead.rs
@@ -22,6 +22,15 @@
 /// Load and kept kilobytes of one shard, by where it begins.
 pub type Load = (u64, f64, f64);
 
+/// Documents that one other takes the place of.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Old {
+    /// Key and value of that one: it holds all of them, and is to be written as they are removed.
+    pub base: (String, Vec<u8>),
+    /// Their keys.
+    pub keys: Vec<String>,
+}
+
 /// A look ahead that is under way.
 #[derive(Clone, Debug)]
 struct Job {
@@ -191,16 +200,15 @@
         self.wishes.clone()
     }
 
-    /// Documents of this zone whose buckets the history no longer reaches, at most [`MOST_OLD`], with the one document
-    /// that is to be written as they are removed: it holds all of them. `None`: there is nothing to remove.
-    pub fn old<'a>(&self, keys: impl Iterator<Item = &'a str>) -> Option<((String, Vec<u8>), Vec<String>)> {
+    /// Documents of this zone whose buckets the history no longer reaches, at most a hundred. `None`: there are none.
+    pub fn old<'a>(&self, keys: impl Iterator<Item = &'a str>) -> Option<Old> {
         let base = self.merged.base()?;
         let (key, oldest) = (base.key(&self.zone), self.merged.oldest());
         let below = Ahead::below(&self.zone);
         let bucket = |k: &str| k.strip_prefix(&below)?.split('/').next()?.parse::<u64>().ok();
         let old = keys.filter(|k| *k != key && bucket(k).is_some_and(|b| b <= oldest));
         let old: Vec<String> = old.take(MOST_OLD).map(str::to_owned).collect();
-        (!old.is_empty()).then(|| ((key, base.encode()), old))
+        (!old.is_empty()).then(|| Old { base: (key, base.encode()), keys: old })
     }
 
     /// The schedule to be written, once each time that it has changed.
@@ -236,9 +244,9 @@
                 growth.written(&key);
                 kept.insert(key, value);
             }
-            if let Some(((key, value), old)) = ahead.old(kept.keys().map(String::as_str)) {
-                old.iter().for_each(|k| drop(kept.remove(k)));
-                kept.insert(key, value);
+            if let Some(old) = ahead.old(kept.keys().map(String::as_str)) {
+                old.keys.iter().for_each(|k| drop(kept.remove(k)));
+                kept.insert(old.base.0, old.base.1);
             }
             assert!(kept.len() <= 9, "{:?}", kept.keys());
         }
--- a/src/net/doorman/shards.rs
+++ b/src/net/doorman/shards.rs
@@ -466,9 +466,10 @@
             let transaction = Transaction { puts: vec![put], ..Transaction::default() };
             self.submit(doorman, Out::Latest, fenced(transaction, fence));
         }
-        if let Some((base, deletes)) = old {
-            debug!(doorman.log, "old buckets go"; "zone" => name, "keys" => deletes.len());
-            let transaction = Transaction { puts: vec![base], deletes, ..Transaction::default() };
+        if let Some(old) = old {
+            debug!(doorman.log, "old buckets go"; "zone" => name, "keys" => old.keys.len());
+            let transaction =
+                Transaction { puts: vec![old.base], deletes: old.keys, ..Transaction::default() };
             self.submit(doorman, Out::Latest, fenced(transaction, fence));
         }
     }
