Plans of sites: a new doorman stops holding back once it has learned what there is

The end of learning was looked for between two looks at the same moment, so it was never seen: a new doorman kept its branch's boxes at the cold share until some site was judged, for good if none was. Now what the guidance was made with is kept and compared.

--- a/src/net/doorman/fleet.rs
+++ b/src/net/doorman/fleet.rs
@@ -37,6 +37,8 @@
     replan: Option<Time>,
     maker: Option<Maker>,
     plans: Option<Plans>,
+    /// It is new and has not heard all others yet: it goes no further than a site on its way back might be.
+    learning: bool,
     /// The numbers of peers' plans that differ from this one's, as last told.
     differ: usize,
 }
@@ -153,6 +155,7 @@
             replan: None,
             maker: None,
             plans: None,
+            learning: true,
             differ: 0,
         });
         let shards = product.shards.is_some().then(|| Box::new(Shards::new(self, product, seed)));
@@ -274,7 +277,7 @@
             None => false,
         };
         if changed || moved {
-            self.guide(&mut fleet, &heard);
+            self.guide(&mut fleet);
         }
         self.say_note(&mut fleet);
         let soon = fleet.sites.as_ref().is_some_and(|s| s.maker.is_some());
@@ -287,7 +290,7 @@
     /// Lets the judgement and the plans go on; whether the guidance may have changed.
     fn judge_sites(&mut self, fleet: &mut Fleet, heard: &[Heard]) -> bool {
         let Some(sites) = &mut fleet.sites else { return false };
-        let (mut actions, learnt) = (Vec::new(), sites.judge.learning(self.now));
+        let mut actions = Vec::new();
         for member in self.gone_peers() {
             sites.judge.gone(member);
         }
@@ -295,7 +298,8 @@
             sites.judge.note(self.now, *member, *age, note, &mut actions);
         }
         sites.judge.tick(self.now, &mut actions);
-        let mut changed = learnt != sites.judge.learning(self.now);
+        let learning = sites.judge.learning(self.now) && !self.heard_all(heard);
+        let mut changed = std::mem::replace(&mut sites.learning, learning) != learning;
         for Judged::Changed { zone, from, to, why } in actions {
             let name = self.settings.failure_domains.get(zone).cloned().unwrap_or_default();
             info!(self.log, "site judged"; "zone" => name, "was" => ?from, "is" => ?to, "why" => %why);
@@ -317,7 +321,7 @@
     }
 
     /// Tells the module what plans and shards ask, if that has changed.
-    fn guide(&mut self, fleet: &mut Fleet, heard: &[Heard]) {
+    fn guide(&mut self, fleet: &mut Fleet) {
         let settings = self.settings.for_router();
         let mut guidance = Guidance::default();
         if let Some(sites) = &fleet.sites {
@@ -346,7 +350,7 @@
                     trial: TRIAL,
                     window: settings.fall_window,
                     expected_return: expected_return.min(settings.max_retry_after),
-                    learning: (sites.judge.learning(self.now) && !self.heard_all(heard)).then_some(cold),
+                    learning: sites.learning.then_some(cold),
                 };
                 guidance = plans.guidance(&asked);
             }
