Guidance: what goes straight to a parent counts as its class's misses

With its caches gone a branch sends straight to parents, and what a parent held was taken back from the class's account as if a cache had had it: the cheap class was never held to its part and took the room of the dear one. A direct fetch from the archive is booked too.

--- a/src/guidance.rs
+++ b/src/guidance.rs
@@ -158,11 +158,12 @@
     }
 
     /// What was sent at a moment never came to its source: the cache before it had the copy, and nothing was filled.
-    pub fn spared(&mut self, source: &Id, class: usize, sent: Time) {
+    /// Without a `cache` before it, the request went straight to a parent: that is its class's work all the same.
+    pub fn spared(&mut self, source: &Id, class: usize, cache: bool, sent: Time) {
         if let Some((_, account)) = self.bounds.get_mut(source) {
             account.take_back(sent);
         }
-        if let Some(account) = self.fills.get_mut(class) {
+        if let Some(account) = self.fills.get_mut(class).filter(|_| cache) {
             account.take_back(sent);
         }
     }
@@ -174,10 +175,10 @@
         account.has_room(now, self.window(), rate * self.window() as f64, work, self.since)
     }
 
-    /// A request goes out to a cache; `source`: from where a miss would be filled.
-    pub fn filling(&mut self, now: Time, request: &Request, work: f64, to: &Id, source: Option<&Id>) {
+    /// A request goes out; `fills`: a miss of the cache would be filled, or it goes straight to a source.
+    pub fn filling(&mut self, now: Time, request: &Request, work: f64, to: &Id, fills: bool) {
         let window = self.window();
-        if let Some(account) = self.fills.get_mut(request.class).filter(|_| source.is_some()) {
+        if let Some(account) = self.fills.get_mut(request.class).filter(|_| fills) {
             account.book(now, window, work);
         }
         if self.shard(request.object).and_then(|s| s.warming.as_ref()).is_some_and(|w| w.to == *to) {
@@ -257,7 +258,7 @@
                 if guide.admits(now, &server, work, 0.0) {
                     guide.sent(now, &server, work);
                     if hit {
-                        guide.spared(&server, 0, now);
+                        guide.spared(&server, 0, true, now);
                     } else {
                         sent.push((now, work));
                     }
@@ -311,7 +312,7 @@
         let (request, mut sent) = (Request { object: 7, ..Request::default() }, 0);
         for now in (S..S + 10 * S).step_by(1_000) {
             if let Some((to, home)) = guide.warms(now, 7, 100_000.0).map(|w| (w.0.clone(), w.1.cloned())) {
-                guide.filling(now, &request, 100_000.0, &to, home.as_ref());
+                guide.filling(now, &request, 100_000.0, &to, home.is_some());
                 sent += 1;
             }
         }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -642,7 +642,8 @@
             self.guide.sent(self.now, &entry.member.id, open.work);
         }
         let of = |s: usize| &self.servers[s].member.id;
-        self.guide.filling(self.now, &open.request, open.work, of(server), source.map(of));
+        let fills = source.is_some() || role != Role::Cache;
+        self.guide.filling(self.now, &open.request, open.work, of(server), fills);
         let to = of(server).clone();
         self.under_way += u32::from(role == Role::Cache);
         open.attempts += 1;
@@ -755,15 +756,14 @@
             }
             self.servers[s].on_trial = false;
         }
-        let role = self.servers[attempt.server].member.role;
-        self.under_way = self.under_way.saturating_sub(u32::from(role == Role::Cache));
+        let cache = self.servers[attempt.server].member.role == Role::Cache;
+        self.under_way = self.under_way.saturating_sub(u32::from(cache));
         if let Some(report) = outcome.report.filter(|r| r.hit_share >= 0.0) {
             self.servers[attempt.server].hit_share = report.hit_share.min(1.0);
         }
         // What was found in the cache has not come to the source.
-        let hit = matches!(outcome.note, Note::Hit | Note::Stale);
-        if let Some(source) = attempt.source.filter(|_| hit) {
-            self.guide.spared(&self.servers[source].member.id, open.request.class, attempt.sent);
+        if let Some(source) = attempt.source.filter(|_| matches!(outcome.note, Note::Hit | Note::Stale)) {
+            self.guide.spared(&self.servers[source].member.id, open.request.class, cache, attempt.sent);
         }
         self.judge(attempt, &outcome);
         open.errors = if outcome.code == Code::Error { open.errors + 1 } else { 0 };
