--- a/crates/standins/src/world/mod.rs
+++ b/crates/standins/src/world/mod.rs
@@ -5,6 +5,7 @@
 pub mod checker;
 mod engine;
 pub mod load;
+pub mod losses;
 pub mod records;
 pub mod servers;
 
