Buckets of growth last two seconds at least

They are closed once a second. With shorter ones every second bucket of the history was missing, no growth from one to the next could be told, and nothing was ever forecast. Ruled out: closing them more often, which no one needs but tests.

--- a/src/product/fleet.rs
+++ b/src/product/fleet.rs
@@ -83,7 +83,7 @@
 /// The arguments of `growth(...)`, checked.
 pub(super) fn growth(mut a: Arguments) -> Result<growth::Settings, Bad> {
     let mut s = growth::Settings::default();
-    ms(&mut a, "bucket_ms", 100, 86_400_000, &mut s.bucket)?;
+    ms(&mut a, "bucket_ms", 2_000, 86_400_000, &mut s.bucket)?;
     a.number("buckets", 8..=20_000, |n| s.buckets = n as usize)?;
     a.number("box_mb", 1..=1_000_000_000, |n| s.box_kb = n as f64 * 1_000.0)?;
     percent(&mut a, "split_percent", 1, 100, &mut s.split)?;
