--- a/crates/standins/src/registry/server.rs
+++ b/crates/standins/src/registry/server.rs
@@ -114,6 +114,11 @@
         self.shared.lock().unwrap_or_else(|e| e.into_inner())
     }
 
+    /// When its clock stood at 0: changes of the history count from here.
+    pub fn began(&self) -> Instant {
+        self.lock().began
+    }
+
     /// Does something with the store; what it commits is committed when this returns.
     pub fn with<R>(&self, what: impl FnOnce(&mut Store) -> R) -> R {
         what(&mut self.lock().store)
--- a/crates/standins/src/registry/store.rs
+++ b/crates/standins/src/registry/store.rs
@@ -21,6 +21,8 @@
 pub struct Change {
     /// Its revision.
     pub revision: i64,
+    /// When, by the time last given to [`Store::expire`].
+    pub at: u64,
     /// The key.
     pub key: Vec<u8>,
     /// What it became; `None`: removed.
@@ -43,6 +45,7 @@
     /// Leases with the moment of their end and how long they last, in the caller's time.
     leases: BTreeMap<i64, (u64, u64)>,
     granted: i64,
+    now: u64,
     history: Vec<Change>,
 }
 
@@ -80,6 +83,7 @@
         versions.push((kv.clone(), there));
         self.history.push(Change {
             revision: self.revision,
+            at: self.now,
             key: key.to_vec(),
             value: there.then(|| kv.value.clone()),
             lease,
@@ -193,6 +197,7 @@
 
     /// Ends the leases that are over, and the keys with them.
     pub fn expire(&mut self, now: u64) {
+        self.now = now;
         let over: Vec<i64> = self.leases.iter().filter(|l| l.1 .0 <= now).map(|l| *l.0).collect();
         for lease in over {
             self.revoke(lease);
