--- a/src/sites/mod.rs
+++ b/src/sites/mod.rs
@@ -4,7 +4,12 @@
 //! Order of precedence: rules of the protocol, then a lost site's plan, then its paced return, then moves of shards,
 //! then splits.
 
+pub mod inputs;
+pub mod judge;
 pub mod note;
+pub mod order;
+pub mod pace;
+pub mod plan;
 
 use crate::interface::Time;
 
