Growth counts each part of an object by itself

Boxes keep parts, and a request names one; counted by object alone, a clip of many parts weighed as its largest part. A part lies in its object's cell of the history, so shards' series stay whole.

--- a/src/growth/buckets.rs
+++ b/src/growth/buckets.rs
@@ -169,11 +169,14 @@
 
     /// An object was wanted: filled because no cache had it, or written. Other requests are no growth. A hash and one
     /// comparison; allocates nothing.
-    pub fn wanted(&mut self, object: u64, kb: f64, new_fill: bool, write: bool) {
+    /// Each `part` of an object is kept, and counted, by itself.
+    pub fn wanted(&mut self, object: u64, part: u64, kb: f64, new_fill: bool, write: bool) {
         if !(new_fill || write) {
             return;
         }
-        let position = crate::placement::position(object);
+        // A part lies in its object's cell, and anywhere in it.
+        let apart = crate::placement::position(object.rotate_left(32) ^ part) >> CELL_BITS;
+        let position = crate::placement::position(object) ^ if part == 0 { 0 } else { apart };
         let at = (position >> (64 - CELL_BITS - REGISTER_BITS)) as usize;
         let hash = position << (CELL_BITS + REGISTER_BITS);
         if let Some(held) = self.registers.get_mut(at) {
--- a/src/growth/tests.rs
+++ b/src/growth/tests.rs
@@ -21,7 +21,7 @@
         for hour in 0..6u8 {
             growth.close(NOW + u64::from(hour) * HOUR_MS);
             for w in wants.iter().filter(|w| w.0 % 3 == member && w.1 % 6 == hour) {
-                growth.wanted(u64::from(w.2 % 300), f64::from(w.2), true, w.3);
+                growth.wanted(u64::from(w.2 % 300), u64::from(w.2 % 3), f64::from(w.2), true, w.3);
             }
         }
         growth.close(NOW + 6 * HOUR_MS);
@@ -98,8 +98,8 @@
             // Half of what one wants the other wants too; all of it comes twice.
             for object in (0..many * 2 / 3).chain(0..many * 2 / 3) {
                 let object = object + member * (many / 3);
-                growth.wanted(object, 10.0 + (object % 100) as f64, true, object % 4 == 0);
-                growth.wanted(object + many * 2, 1e9, false, false);
+                growth.wanted(object / 2, object % 2, 10.0 + (object % 100) as f64, true, object % 4 == 0);
+                growth.wanted(object + many * 2, 0, 1e9, false, false);
             }
             growth.close(NOW + HOUR_MS);
             merged.take(&Document::decode(&growth.next().unwrap().1).unwrap(), NOW + HOUR_MS).unwrap();
@@ -121,8 +121,8 @@
     let mut growth = Growth::new(Settings { waiting: 4, ..Settings::default() }, "z", "d", 7);
     growth.close(NOW);
     for hour in 1..=30 {
-        (0..100).for_each(|n| growth.wanted(hour * 100 + n, 1.0, true, false));
-        growth.wanted(1, 1.0, true, false);
+        (0..100).for_each(|n| growth.wanted(hour * 100 + n, 0, 1.0, true, false));
+        growth.wanted(1, 0, 1.0, true, false);
         assert!(!growth.close(NOW - 5 * HOUR_MS), "a clock put back closes nothing");
         assert!(growth.close(NOW + hour * HOUR_MS));
         assert!(growth.pending() <= 4);
--- a/src/net/doorman/shards.rs
+++ b/src/net/doorman/shards.rs
@@ -485,10 +485,10 @@
     }
 
     /// A request was answered: its work counts, and its object if it was newly wanted.
-    fn wanted(&mut self, object: u64, kb: f64, work_us: f64, filled: bool, write: bool) {
+    fn wanted(&mut self, (object, part): (u64, u64), kb: f64, work_us: f64, filled: bool, write: bool) {
         self.work.add(object, work_us);
         if let Some(growth) = &mut self.growth {
-            growth.wanted(object, kb, filled, write);
+            growth.wanted(object, part, kb, filled, write);
         }
     }
 }
@@ -511,6 +511,12 @@
         let pace = self.settings.domain.flow_kb_per_s.max(1.0);
         let write = !open.ask.body.is_empty();
         let kb = open.ask.size_kb;
-        shards.wanted(open.ask.entity.1, kb, kb / pace * 1e6, matches!(note, Note::Filled), write);
+        shards.wanted(
+            (open.ask.entity.1, open.ask.nth),
+            kb,
+            kb / pace * 1e6,
+            matches!(note, Note::Filled),
+            write,
+        );
     }
 }
