--- a/src/net/doorman/shards.rs
+++ b/src/net/doorman/shards.rs
@@ -288,10 +288,7 @@
                     }
                     changed = true;
                 }
-                Some(Applied::Unusable(e)) => {
-                    warn!(doorman.log, "map of shards stays as it is"; "epoch" => self.follower.epoch(), "why" => %e);
-                }
-                Some(trouble) => warn!(doorman.log, "map of shards stays as it is"; "why" => ?trouble),
+                Some(trouble) => warn!(doorman.log, "map of shards stays as it is"; "why" => %trouble),
                 None => {}
             }
         }
--- a/src/placement/follow.rs
+++ b/src/placement/follow.rs
@@ -24,6 +24,22 @@
     },
 }
 
+impl std::fmt::Display for Heard {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Heard::Applied(epoch) => write!(f, "epoch {epoch} is applied"),
+            Heard::Deleted(epoch) => {
+                write!(f, "its key is gone; epoch {epoch} stays in force, and the planner writes it anew")
+            }
+            Heard::Unusable(why) => why.fmt(f),
+            Heard::NotNewer { held, came } => write!(
+                f,
+                "epoch {came} came, which is not later than {held}; if the registry was restored, the planner writes a later one"
+            ),
+        }
+    }
+}
+
 /// One doorman's knowledge of its zone's map.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Follower {
