The origin's smaller part holds only where each router has few of the parents' places

Few routers see the origin's line by themselves. The smaller part and its end now bind only where a router's share of the parents is below ten places, as with hundreds of them.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -34,14 +34,17 @@
 const READMIT_BELOW: f64 = 0.2;
 /// Microseconds of a first ejection; each further one in a row doubles, up to EJECT_DOUBLINGS times.
 const EJECT_FOR: Time = 1_000_000;
-/// Eight seconds at most, so that a healed server is soon found.
 const EJECT_DOUBLINGS: u32 = 3;
 /// Errors after which, where nothing else came, the request itself is what can't be used.
 const ALL_ERRORS: u32 = 3;
 /// Least rate used to share out blame, so that two servers without a record share it evenly.
 const BLAME_FLOOR: f64 = 0.02;
-/// Part of the work of parents that the origin bears at first sight: what they lack, and what passes them by.
-const MISS_PART: f64 = 0.2;
+/// Part of the work of parents that the origin bears at first sight.
+const MISS_PART: f64 = 0.5;
+/// Danger: where a router has fewer of the parents' places than this, it learns of the line there too late.
+const FEW: f64 = 10.0;
+/// Then all begin with this part of the parents' work at the origin, and raise it to the whole at most.
+const FEW_PART: f64 = 0.2;
 /// Part of a location's work that its link in is built for: the misses, with room to spare.
 const LINK_PART: f64 = 0.5;
 /// Roots of a limit that may be out above it for a moment, while its average keeps it.
@@ -385,7 +388,6 @@
 
     fn pick_cache(&self, open: &Open) -> Option<usize> {
         let mut order = self.order(Role::Cache, open.request.object);
-        // The home that the map of shards names comes first, and the hash's order where it fails.
         let home = self.guide.home(open.request.object).and_then(|h| self.by_id.get(h));
         order.sort_by_key(|s| Some(s) != home);
         let allowed = |s: usize| self.in_group(open, s) && self.cold_room(s, open);
@@ -473,7 +475,8 @@
     fn fair(&self, s: usize) -> f64 {
         let member = &self.servers[s].member;
         let sum: f64 = self.serving(Role::Parent).iter().map(|&p| self.size(p)).sum();
-        let size = if member.role == Role::Origin { MISS_PART * sum } else { self.size(s) };
+        let part = if sum / self.sharing(member) < FEW { FEW_PART } else { MISS_PART };
+        let size = if member.role == Role::Origin { part * sum } else { self.size(s) };
         // Danger: a count far too large would leave a part that no average comes below again.
         (size.max(LEAST_SIZE) / self.sharing(member)).max(LEAST_PART)
     }
@@ -518,8 +521,7 @@
         let (now, origin, server) = (self.now, self.origin() == Some(s), &mut self.servers[s]);
         if in_time {
             server.share = (server.share + SHARE_STEP).min(1.0);
-            // Danger: hundreds of routers each learn of the origin's line too late, and all raise limits.
-            let whole = origin && server.fair < 1.0 && server.limit >= server.fair / MISS_PART;
+            let whole = origin && server.fair < FEW * FEW_PART && server.limit >= server.fair / FEW_PART;
             if used >= server.limit / 2.0 && !whole {
                 server.limit += (1.0 / server.limit).min(server.limit * MOST_RISE * faster);
             }
@@ -695,7 +697,6 @@
         }
         let held_only = crowded.is_some() && !open.lacked;
         // Danger: traffic that passes the caches by fills the location's link: only where no cache is listed.
-        // Then parents are asked straight: the archive alone can't bear a whole location.
         let none_here = self.guide.straight() || self.serving(Role::Cache).is_empty();
         let server =
             self.pick_cache(open).or_else(|| source.filter(|_| none_here && self.settings.direct))?;
@@ -761,7 +762,6 @@
         if let Some(report) = outcome.report.filter(|r| r.hit_share >= 0.0) {
             self.servers[attempt.server].hit_share = report.hit_share.min(1.0);
         }
-        // What was found in the cache has not come to the source.
         if let Some(source) = attempt.source.filter(|_| matches!(outcome.note, Note::Hit | Note::Stale)) {
             self.guide.spared(&self.servers[source].member.id, open.request.class, cache, attempt.sent);
         }
