--- a/src/growth/ahead.rs
+++ b/src/growth/ahead.rs
@@ -3,7 +3,7 @@
 
 use super::buckets::{Cell, Document, Merged, CELLS};
 use super::forecast::Forecast;
-use super::splits::{Notice, Scheduler, Shard, Window};
+use super::splits::{factors, Notice, Scheduler, Shard, Window};
 use super::{GrowthError, Settings};
 use crate::placement::load::Work;
 use crate::placement::map::ShardMap;
@@ -19,6 +19,9 @@
 /// Documents removed in one transaction: with the base that takes their place, fewer than a registry's bound of 128.
 const MOST_OLD: usize = 100;
 
+/// Weeks ahead that are asked whether a site's loss could be borne.
+pub const WEEKS: u64 = 8;
+
 /// Load and kept kilobytes of one shard, by where it begins.
 pub type Load = (u64, f64, f64);
 
@@ -60,6 +63,7 @@
     kept: Option<Vec<u8>>,
     /// Shards of which operators were told: each trouble is said once while it lasts.
     told: BTreeSet<u64>,
+    weeks: Vec<f64>,
 }
 
 impl Ahead {
@@ -77,6 +81,7 @@
             schedule: None,
             kept: None,
             told: BTreeSet::new(),
+            weeks: Vec::new(),
         }
     }
 
@@ -184,12 +189,23 @@
         let merges = merges.into_iter().filter_map(merge);
         self.wishes = Some(self.scheduler.scheduled().map(split).chain(merges).collect());
         (self.loads, self.told) = (job.loads, job.troubles);
+        let known = |f: &&Forecast| matches!(f, Forecast::Known(_));
+        let forecasts = job.forecasts.iter().map(|f| &f.1);
+        self.weeks = match forecasts.clone().any(|f| known(&f)) {
+            true => factors(forecasts, WEEKS, &self.settings),
+            false => Vec::new(),
+        };
         let schedule = self.scheduler.encode();
         let empty = self.kept.is_none() && self.scheduler.scheduled().next().is_none();
         self.schedule = (!empty && self.kept.as_ref() != Some(&schedule)).then_some(schedule);
         notices
     }
 
+    /// By how much the zone's fills grow in each of the coming weeks against today's; empty: too little is known.
+    pub fn weeks(&self) -> &[f64] {
+        &self.weeks
+    }
+
     /// What was last found of each shard.
     pub fn loads(&self) -> &[Load] {
         &self.loads
--- a/src/guidance.rs
+++ b/src/guidance.rs
@@ -70,6 +70,8 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Account {
     booked: VecDeque<(Time, f64)>,
+    /// All that is booked, also what has left the window since.
+    sum: f64,
     /// The latest booking, also after it has left the window.
     last: Option<(Time, f64)>,
 }
@@ -85,9 +87,10 @@
             return false;
         }
         if work <= budget {
+            // Of what is booked only the oldest has left the window; the sum holds the rest.
             let since = now.saturating_sub(window);
-            let spent: f64 = self.booked.iter().filter(|b| b.0 >= since).map(|b| b.1).sum();
-            return spent + work <= budget;
+            let gone: f64 = self.booked.iter().take_while(|b| b.0 < since).map(|b| b.1).sum();
+            return self.sum - gone + work <= budget;
         }
         let lasts = |work: f64| (work / budget * window as f64) as Time;
         now >= self.last.map_or(first, |b| b.0.saturating_add(lasts(b.1.max(work))))
@@ -96,17 +99,19 @@
     /// Books work that is sent now.
     pub fn book(&mut self, now: Time, window: Time, work: f64) {
         let since = now.saturating_sub(window);
-        while self.booked.front().is_some_and(|b| b.0 < since) {
+        while let Some(gone) = self.booked.front().copied().filter(|b| b.0 < since) {
             self.booked.pop_front();
+            self.sum -= gone.1;
         }
         self.last = Some((now, work.max(LEAST_WORK)));
+        self.sum = if self.booked.is_empty() { 0.0 } else { self.sum } + work.max(LEAST_WORK);
         self.booked.extend(self.last);
     }
 
     /// Takes back what was booked at a moment: it did not come to its server.
     pub fn take_back(&mut self, sent: Time) {
-        if let Some(at) = self.booked.iter().position(|b| b.0 == sent) {
-            self.booked.remove(at);
+        if let Ok(at) = self.booked.binary_search_by_key(&sent, |b| b.0) {
+            self.sum -= self.booked.remove(at).map_or(0.0, |b| b.1);
         }
     }
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -518,7 +518,7 @@
         let (now, origin, server) = (self.now, self.origin() == Some(s), &mut self.servers[s]);
         if in_time {
             server.share = (server.share + SHARE_STEP).min(1.0);
-            // Danger: hundreds of routers each learn of the origin's line too late, and all raise their limits.
+            // Danger: hundreds of routers each learn of the origin's line too late, and all raise limits.
             let whole = origin && server.fair < 1.0 && server.limit >= server.fair / MISS_PART;
             if used >= server.limit / 2.0 && !whole {
                 server.limit += (1.0 / server.limit).min(server.limit * MOST_RISE * faster);
--- a/src/net/doorman/fleet.rs
+++ b/src/net/doorman/fleet.rs
@@ -3,6 +3,7 @@
 
 use super::shards::Shards;
 use super::*;
+use crate::growth::ahead::WEEKS;
 use crate::guidance::Guidance;
 use crate::interface::{Member, Role};
 use crate::placement::error::PlacementError;
@@ -39,6 +40,10 @@
     plans: Option<Plans>,
     /// It is new and has not heard all others yet: it goes no further than a site on its way back might be.
     learning: bool,
+    /// Which loss is asked next whether it would be borne, and how many weeks ahead.
+    asks: (Zone, usize),
+    /// From which week on the loss of each zone would not be borne, as last told.
+    unborne: FxHashMap<Zone, usize>,
     /// The numbers of peers' plans that differ from this one's, as last told.
     differ: usize,
 }
@@ -156,6 +161,8 @@
             maker: None,
             plans: None,
             learning: true,
+            asks: (0, 0),
+            unborne: FxHashMap::default(),
             differ: 0,
         });
         let shards = product.shards.is_some().then(|| Box::new(Shards::new(self, product, seed)));
@@ -279,6 +286,7 @@
         if changed || moved {
             self.guide(&mut fleet);
         }
+        self.look_at_losses(&mut fleet);
         self.say_note(&mut fleet);
         let soon = fleet.sites.as_ref().is_some_and(|s| s.maker.is_some());
         let next = fleet.sites.as_ref().map_or(Time::MAX, |s| s.judge.next());
@@ -320,6 +328,24 @@
         changed
     }
 
+    /// Asks of one site and one week ahead whether the forecast load would still bear its loss: one program a turn.
+    fn look_at_losses(&mut self, fleet: &mut Fleet) {
+        let (Some(sites), Some(shards)) = (&mut fleet.sites, &fleet.shards) else { return };
+        let ((zone, week), zones) = (sites.asks, sites.zones);
+        let growth = shards.growth(week, zones).filter(|_| !sites.judge.any());
+        let (Some(plans), Some(growth)) = (&sites.plans, growth) else { return };
+        let borne = plans.borne(zone, &growth);
+        let last = week + 1 >= WEEKS as usize;
+        sites.asks = if borne && !last { (zone, week + 1) } else { ((zone + 1) % zones.max(1), 0) };
+        let name = self.settings.failure_domains.get(zone).cloned().unwrap_or_default();
+        if !borne && sites.unborne.insert(zone, week) != Some(week) {
+            warn!(self.log, "a site's loss could not be borne"; "zone" => name, "from_week" => week,
+                  "hint" => "add parents or links, or let load leave its branch");
+        } else if borne && last && sites.unborne.remove(&zone).is_some() {
+            info!(self.log, "a site's loss can be borne again"; "zone" => name, "weeks" => WEEKS);
+        }
+    }
+
     /// Tells the module what plans and shards ask, if that has changed.
     fn guide(&mut self, fleet: &mut Fleet) {
         let settings = self.settings.for_router();
--- a/src/net/doorman/shards.rs
+++ b/src/net/doorman/shards.rs
@@ -162,6 +162,16 @@
         self.settings == *new
     }
 
+    /// While this doorman is the planner: each zone's growth by a week ahead, 1 where it is not known.
+    pub(super) fn growth(&self, week: usize, zones: usize) -> Option<Vec<f64>> {
+        let of = |z: Zone| {
+            let ahead = self.zones.get(&z).and_then(|z| z.ahead.as_ref());
+            ahead.and_then(|a| a.weeks().get(week)).copied()
+        };
+        let known = self.leads && (0..zones).any(|z| of(z).is_some());
+        known.then(|| (0..zones).map(|z| of(z).unwrap_or(1.0)).collect())
+    }
+
     pub(super) fn homes(&self) -> Arc<[Home]> {
         self.homes.clone()
     }
--- a/src/sites/plan/tests.rs
+++ b/src/sites/plan/tests.rs
@@ -242,6 +242,16 @@
     assert_eq!(guidance.fills[1..], [None, None, None]);
 }
 
+#[test]
+fn growth_ends_what_can_be_borne() {
+    let mut inputs = small();
+    inputs.load.iter_mut().flatten().for_each(|l| *l /= 8.0);
+    let plans = Plans::make(&inputs).unwrap();
+    assert!(plans.borne(0, &[1.0, 1.0]) && !plans.borne(0, &[8.0, 8.0]));
+    let first = (0..9).find(|n| !plans.borne(0, &[f64::from(*n), 1.0])).unwrap();
+    assert!((2..8).contains(&first), "{first}");
+}
+
 #[test]
 fn writes_are_refused_after_everything_but_the_floors() {
     let mut inputs = small();
