--- a/src/guidance.rs
+++ b/src/guidance.rs
@@ -22,13 +22,15 @@
     pub rate: f64,
 }
 
-/// A shard that is warmed at its next home: some of its requests go there and are filled from the present home.
+/// A shard that is warmed at its next home: some of its requests go there, and are filled from the present home.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Warming {
     /// The next home.
     pub to: Id,
     /// Transfers at full pace that may go there for warming, by this doorman.
     pub rate: f64,
+    /// A cache may be the source of another's fill. If not, or without a present home, parents are.
+    pub lateral: bool,
 }
 
 /// One shard: from here in the space of objects up to where the next one begins.
@@ -53,6 +55,8 @@
     pub fills: Vec<Option<f64>>,
     /// Ageing copies are accepted as far as a class allows, and nothing is renewed behind.
     pub pressed: bool,
+    /// What finds no room at the caches of this zone goes straight to its source, where the settings let it.
+    pub straight: bool,
     /// How long refused clients are to stay away, in microseconds: at least, and up to so much more by chance.
     /// (0, 0): as without guidance.
     pub pause: (Time, Time),
@@ -66,6 +70,8 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Account {
     booked: VecDeque<(Time, f64)>,
+    /// All that is booked, also what has left the window since.
+    sum: f64,
     /// The latest booking, also after it has left the window.
     last: Option<(Time, f64)>,
 }
@@ -81,9 +87,10 @@
             return false;
         }
         if work <= budget {
+            // Of what is booked only the oldest has left the window; the sum holds the rest.
             let since = now.saturating_sub(window);
-            let spent: f64 = self.booked.iter().filter(|b| b.0 >= since).map(|b| b.1).sum();
-            return spent + work <= budget;
+            let gone: f64 = self.booked.iter().take_while(|b| b.0 < since).map(|b| b.1).sum();
+            return self.sum - gone + work <= budget;
         }
         let lasts = |work: f64| (work / budget * window as f64) as Time;
         now >= self.last.map_or(first, |b| b.0.saturating_add(lasts(b.1.max(work))))
@@ -92,17 +99,19 @@
     /// Books work that is sent now.
     pub fn book(&mut self, now: Time, window: Time, work: f64) {
         let since = now.saturating_sub(window);
-        while self.booked.front().is_some_and(|b| b.0 < since) {
+        while let Some(gone) = self.booked.front().copied().filter(|b| b.0 < since) {
             self.booked.pop_front();
+            self.sum -= gone.1;
         }
         self.last = Some((now, work.max(LEAST_WORK)));
+        self.sum = if self.booked.is_empty() { 0.0 } else { self.sum } + work.max(LEAST_WORK);
         self.booked.extend(self.last);
     }
 
     /// Takes back what was booked at a moment: it did not come to its server.
     pub fn take_back(&mut self, sent: Time) {
-        if let Some(at) = self.booked.iter().position(|b| b.0 == sent) {
-            self.booked.remove(at);
+        if let Ok(at) = self.booked.binary_search_by_key(&sent, |b| b.0) {
+            self.sum -= self.booked.remove(at).map_or(0.0, |b| b.1);
         }
     }
 }
@@ -154,11 +163,12 @@
     }
 
     /// What was sent at a moment never came to its source: the cache before it had the copy, and nothing was filled.
-    pub fn spared(&mut self, source: &Id, class: usize, sent: Time) {
+    /// Without a `cache` before it, the request went straight to a parent: that is its class's work all the same.
+    pub fn spared(&mut self, source: &Id, class: usize, cache: bool, sent: Time) {
         if let Some((_, account)) = self.bounds.get_mut(source) {
             account.take_back(sent);
         }
-        if let Some(account) = self.fills.get_mut(class) {
+        if let Some(account) = self.fills.get_mut(class).filter(|_| cache) {
             account.take_back(sent);
         }
     }
@@ -170,14 +180,13 @@
         account.has_room(now, self.window(), rate * self.window() as f64, work, self.since)
     }
 
-    /// A request goes out to a cache; `source`: from where a miss would be filled.
-    pub fn filling(&mut self, now: Time, request: &Request, work: f64, to: &Id, source: Option<&Id>) {
+    /// A request goes out; `fills`: a miss of the cache would be filled, or it goes straight to a source.
+    pub fn filling(&mut self, now: Time, request: &Request, work: f64, to: &Id, fills: bool) {
         let window = self.window();
-        if let Some(account) = self.fills.get_mut(request.class).filter(|_| source.is_some()) {
+        if let Some(account) = self.fills.get_mut(request.class).filter(|_| fills) {
             account.book(now, window, work);
         }
-        let warming = self.shard(request.object).filter(|s| source.is_some() && s.home.as_ref() == source);
-        if warming.and_then(|s| s.warming.as_ref()).is_some_and(|w| w.to == *to) {
+        if self.shard(request.object).and_then(|s| s.warming.as_ref()).is_some_and(|w| w.to == *to) {
             self.warming.entry(to.clone()).or_default().book(now, window, work);
         }
     }
@@ -187,6 +196,11 @@
         self.guidance.as_ref().is_some_and(|g| g.pressed)
     }
 
+    /// Whether requests go straight to a source where the caches here have no room.
+    pub fn straight(&self) -> bool {
+        self.guidance.as_ref().is_some_and(|g| g.straight)
+    }
+
     /// How long refused clients are to stay away, where the plans say so: at least, and more by chance.
     pub fn pause(&self) -> Option<(Time, Time)> {
         self.guidance.as_ref().map(|g| g.pause).filter(|&p| p != (0, 0))
@@ -209,14 +223,14 @@
     }
 
     /// Where this request of an object goes for warming, if its turn has come, and the home that fills it.
-    pub fn warms(&self, now: Time, object: u64, work: f64) -> Option<(&Id, &Id)> {
+    pub fn warms(&self, now: Time, object: u64, work: f64) -> Option<(&Id, Option<&Id>)> {
         let shard = self.shard(object)?;
         let warming = shard.warming.as_ref()?;
         let (window, none) = (self.window(), Account::default());
         let account = self.warming.get(&warming.to).unwrap_or(&none);
         let budget = warming.rate * window as f64;
         let turn = account.has_room(now, window, budget, work, self.since);
-        Some((&warming.to, shard.home.as_ref()?)).filter(|_| turn)
+        turn.then(|| (&warming.to, shard.home.as_ref().filter(|_| warming.lateral)))
     }
 }
 
@@ -249,7 +263,7 @@
                 if guide.admits(now, &server, work, 0.0) {
                     guide.sent(now, &server, work);
                     if hit {
-                        guide.spared(&server, 0, now);
+                        guide.spared(&server, 0, true, now);
                     } else {
                         sent.push((now, work));
                     }
@@ -297,13 +311,13 @@
 
     #[test]
     fn warming_takes_its_part_and_no_more() {
-        let warming = Some(Warming { to: "b".into(), rate: 0.5 });
+        let warming = Some(Warming { to: "b".into(), rate: 0.5, lateral: true });
         let homes = [Home { start: 0, home: Some("a".into()), warming }].into();
         let mut guide = guide(Guidance { homes, ..Guidance::default() });
         let (request, mut sent) = (Request { object: 7, ..Request::default() }, 0);
         for now in (S..S + 10 * S).step_by(1_000) {
-            if let Some((to, home)) = guide.warms(now, 7, 100_000.0).map(|w| (w.0.clone(), w.1.clone())) {
-                guide.filling(now, &request, 100_000.0, &to, Some(&home));
+            if let Some((to, home)) = guide.warms(now, 7, 100_000.0).map(|w| (w.0.clone(), w.1.cloned())) {
+                guide.filling(now, &request, 100_000.0, &to, home.is_some());
                 sent += 1;
             }
         }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -40,8 +40,8 @@
 const ALL_ERRORS: u32 = 3;
 /// Least rate used to share out blame, so that two servers without a record share it evenly.
 const BLAME_FLOOR: f64 = 0.02;
-/// Part of the work of parents that the origin bears at first sight.
-const MISS_PART: f64 = 0.5;
+/// Part of the work of parents that the origin bears at first sight: what they lack, and what passes them by.
+const MISS_PART: f64 = 0.2;
 /// Part of a location's work that its link in is built for: the misses, with room to spare.
 const LINK_PART: f64 = 0.5;
 /// Roots of a limit that may be out above it for a moment, while its average keeps it.
@@ -217,7 +217,7 @@
             }
             Event::ClientGone { request } => self.client_gone(request, actions),
             Event::Purged { object, group, age } => {
-                // Kept twice as long as copies may linger: a fill from an old copy may end after the last drop.
+                // Kept twice as long as copies linger: a fill from an old one may end after the last drop.
                 let until = self.now.saturating_add(self.settings.purge_done.saturating_mul(2));
                 self.purged.told(object, group, self.now.saturating_sub(age), until);
             }
@@ -284,8 +284,8 @@
             }
         }
         for (role, list) in [(Role::Cache, 0), (Role::Parent, 1), (Role::Origin, 2)] {
-            let here = |m: &Member| m.zone == self.settings.zone || self.guide.beyond(&m.id);
-            let near = |m: &Member| role != Role::Cache || here(m);
+            let near =
+                |m: &Member| role != Role::Cache || m.zone == self.settings.zone || self.guide.beyond(&m.id);
             let serves = |m: &Member| m.role == role && m.listed == Listed::Healthy && near(m);
             let all = self.servers.iter().enumerate();
             self.serving[list] = all.filter(|s| serves(&s.1.member)).map(|s| s.0).collect();
@@ -406,12 +406,13 @@
             .or_else(|| it.find(|&s| allowed(s)).filter(|_| !order.iter().any(|&s| self.usable(s))))
     }
 
-    /// A request whose turn it is to warm a shard's next home: that one, and the present one as its source.
+    /// A request whose turn it is to warm a shard's next home: that one, and as its source the present home.
     fn warming(&self, open: &Open) -> Option<(usize, usize)> {
         let (to, from) = self.guide.warms(self.now, open.request.object, open.work)?;
-        let pair = (*self.by_id.get(to)?, *self.by_id.get(from)?);
-        let fits = |s| self.serving(Role::Cache).contains(&s) && self.usable(s) && self.cold_room(s, open);
-        (open.attempts == 0 && fits(pair.0) && fits(pair.1) && self.has_room(pair.0)).then_some(pair)
+        let place = |id| self.by_id.get(id).copied();
+        let fits = |s: &usize| self.serving[0].contains(s) && self.usable(*s) && self.cold_room(*s, open);
+        let to = place(to).filter(|s| open.attempts == 0 && fits(s) && self.has_room(*s))?;
+        Some((to, from.and_then(place).filter(fits).or_else(|| self.pick_source(open))?))
     }
 
     fn pick_source(&self, open: &Open) -> Option<usize> {
@@ -514,10 +515,12 @@
     fn room(&mut self, s: usize, in_time: bool, faster: f64) {
         let next = f64::from(self.servers[s].out + u32::from(self.servers[s].limit >= 1.0));
         let used = self.usual(s).max(next);
-        let (now, server) = (self.now, &mut self.servers[s]);
+        let (now, origin, server) = (self.now, self.origin() == Some(s), &mut self.servers[s]);
         if in_time {
             server.share = (server.share + SHARE_STEP).min(1.0);
-            if used >= server.limit / 2.0 {
+            // Danger: hundreds of routers each learn of the origin's line too late, and all raise limits.
+            let whole = origin && server.fair < 1.0 && server.limit >= server.fair / MISS_PART;
+            if used >= server.limit / 2.0 && !whole {
                 server.limit += (1.0 / server.limit).min(server.limit * MOST_RISE * faster);
             }
         } else if server.late > LATE_BORNE && now >= server.cut.saturating_add(LIMIT_PAUSE) {
@@ -641,7 +644,8 @@
             self.guide.sent(self.now, &entry.member.id, open.work);
         }
         let of = |s: usize| &self.servers[s].member.id;
-        self.guide.filling(self.now, &open.request, open.work, of(server), source.map(of));
+        let fills = source.is_some() || role != Role::Cache;
+        self.guide.filling(self.now, &open.request, open.work, of(server), fills);
         let to = of(server).clone();
         self.under_way += u32::from(role == Role::Cache);
         open.attempts += 1;
@@ -666,7 +670,8 @@
             return self.pick_origin(open).map(|origin| (origin, None, None));
         }
         if let Some((to, from)) = self.warming(open) {
-            return Some((to, Some(from), Some(self.fetch(open, class, from, true))));
+            let held_only = self.servers[from].member.role == Role::Cache;
+            return Some((to, Some(from), Some(self.fetch(open, class, from, held_only))));
         }
         // Danger: past what links and sources can bring, all fills come late and hold the caches' places.
         // Then a request only looks: what is held is still served, the rest is refused at once.
@@ -691,14 +696,11 @@
         let held_only = crowded.is_some() && !open.lacked;
         // Danger: traffic that passes the caches by fills the location's link: only where no cache is listed.
         // Then parents are asked straight: the archive alone can't bear a whole location.
-        let none_here = self.settings.direct && self.serving(Role::Cache).is_empty();
-        let (server, source) = match self.pick_cache(open) {
-            Some(cache) => (cache, source),
-            None => {
-                let server = source.filter(|_| none_here)?;
-                (server, self.pick_origin(open).filter(|&o| o != server && !held_only))
-            }
-        };
+        let none_here = self.guide.straight() || self.serving(Role::Cache).is_empty();
+        let server =
+            self.pick_cache(open).or_else(|| source.filter(|_| none_here && self.settings.direct))?;
+        let fills = || self.pick_origin(open).filter(|&o| o != server && !held_only);
+        let source = if source == Some(server) { fills() } else { source };
         let fetch = self.fetch(open, class, source.unwrap_or(server), held_only);
         Some((server, source, Some(fetch)))
     }
@@ -754,15 +756,14 @@
             }
             self.servers[s].on_trial = false;
         }
-        let role = self.servers[attempt.server].member.role;
-        self.under_way = self.under_way.saturating_sub(u32::from(role == Role::Cache));
+        let cache = self.servers[attempt.server].member.role == Role::Cache;
+        self.under_way = self.under_way.saturating_sub(u32::from(cache));
         if let Some(report) = outcome.report.filter(|r| r.hit_share >= 0.0) {
             self.servers[attempt.server].hit_share = report.hit_share.min(1.0);
         }
         // What was found in the cache has not come to the source.
-        let hit = matches!(outcome.note, Note::Hit | Note::Stale);
-        if let Some(source) = attempt.source.filter(|_| hit) {
-            self.guide.spared(&self.servers[source].member.id, open.request.class, attempt.sent);
+        if let Some(source) = attempt.source.filter(|_| matches!(outcome.note, Note::Hit | Note::Stale)) {
+            self.guide.spared(&self.servers[source].member.id, open.request.class, cache, attempt.sent);
         }
         self.judge(attempt, &outcome);
         open.errors = if outcome.code == Code::Error { open.errors + 1 } else { 0 };
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -5,11 +5,13 @@
 mod document;
 pub mod error;
 pub mod follow;
+pub mod load;
 pub mod map;
 pub mod moves;
 pub mod planner;
 pub mod quiet;
 pub mod rebalance;
+pub mod snapshot;
 
 use crate::interface::Time;
 use std::net::SocketAddr;
--- a/src/placement/planner.rs
+++ b/src/placement/planner.rs
@@ -10,6 +10,9 @@
 //! two planners, lost answers and late ones do, a change is made from exactly the state that it was decided on, or not
 //! at all. After an answer that is unknown or a refusal nothing is decided before both documents are read again.
 
+#[cfg(test)]
+mod tests;
+
 use super::error::PlacementError;
 use super::map::{warm_kb_s, ShardMap};
 use super::moves::{Change, Move, Moves, Step, MOST_CHANGES, MOST_MOVES};
@@ -557,7 +560,8 @@
         notices: &mut Vec<Notice>,
     ) -> Option<(Option<ShardMap>, Moves)> {
         let limits = self.left(v, moves);
-        if v.now < self.look || limits.moves == 0 || limits.kb <= 0.0 {
+        // Danger: while nothing is measured all shards look empty, and all may go to one box.
+        if v.loads.is_empty() || v.now < self.look || limits.moves == 0 || limits.kb <= 0.0 {
             return None;
         }
         self.look = v.now.saturating_add(LOOK);
--- a/src/sites/plan/mod.rs
+++ b/src/sites/plan/mod.rs
@@ -295,6 +295,18 @@
         self.number
     }
 
+    /// Whether the loss of a zone would be borne whole with each zone's load times its factor; one program is solved.
+    pub fn borne(&self, lost: Zone, factors: &[f64]) -> bool {
+        let mut inputs = Inputs::clone(&self.inputs);
+        for (load, factor) in inputs.load.iter_mut().zip(factors) {
+            let factor = if factor.is_finite() { factor.max(0.0) } else { 1.0 };
+            load.iter_mut().for_each(|l| *l = (*l * factor).min(LARGEST));
+        }
+        let lost = [lost];
+        let model = Model::new(&inputs, &lost);
+        !solve::solve(&model).plan(self.number).refuses(None)
+    }
+
     /// The targets in the order that plans name them: by server.
     pub fn targets(&self) -> &[Target] {
         &self.inputs.targets
--- a/src/sites/plan/tests.rs
+++ b/src/sites/plan/tests.rs
@@ -192,7 +192,7 @@
         for zone in 0..inputs.zones {
             let here = doormans[zone];
             let asked =
-                Asked { zone, here, all, factors, trial, window: 1_000_000, expected_return: 10_000_000 };
+                Asked { zone, here, all, factors, trial, window: 1_000_000, expected_return: 10_000_000, learning: None };
             let guidance = plans.guidance(&asked);
             prop_assert_eq!(factors.iter().all(|&f| f >= 1.0), guidance == Guidance::default());
             for bound in &guidance.bounds {
@@ -232,6 +232,7 @@
         trial: 1.0,
         window: 1_000_000,
         expected_return: 8_000_000,
+        learning: None,
     };
     let guidance = plans.guidance(&asked);
     let bound = |server: &str| guidance.bounds.iter().find(|b| &*b.server == server).map(|b| b.rate);
@@ -241,11 +242,22 @@
     assert_eq!(guidance.fills[1..], [None, None, None]);
 }
 
+#[test]
+fn growth_ends_what_can_be_borne() {
+    let mut inputs = small();
+    inputs.load.iter_mut().flatten().for_each(|l| *l /= 8.0);
+    let plans = Plans::make(&inputs).unwrap();
+    assert!(plans.borne(0, &[1.0, 1.0]) && !plans.borne(0, &[8.0, 8.0]));
+    let first = (0..9).find(|n| !plans.borne(0, &[f64::from(*n), 1.0])).unwrap();
+    assert!((2..8).contains(&first), "{first}");
+}
+
 #[test]
 fn writes_are_refused_after_everything_but_the_floors() {
     let mut inputs = small();
     inputs.targets.retain(|t| t.role != Role::Parent);
     inputs.load = vec![vec![40.0, 40.0, 4.0, 6.0], vec![0.0; 4]];
+    inputs.worth = vec![5.0, 5.0, 0.1, 0.1];
     let plans = Plans::make(&inputs).unwrap();
     let admitted = &plans.for_lost(&[0]).admitted[0];
     // Of 8.5: floors of the reads 4, then 4.3 for what must never run twice, then 0.2 for what may.
