A keyed request is refused only while its repeats are discarded when its client returns

`give_up` said that trying again does no harm to any keyed request of group `all`, also when the window in which its repeats are discarded was over, or would be when the advised pause ends: one write more. It is failed then. Test in tests/rules.rs, seen failing without it.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -720,18 +720,18 @@
 
     /// The final answer to a request that no further attempt can help; at once, never held back.
     fn give_up(&mut self, open: Open, actions: &mut Vec<Action>) {
-        let class = self.settings.classes.get(open.request.class);
-        let keyed = |c: &Class| c.effect == Effect::Keyed && c.group == Group::All;
-        let harmless = open.ran.is_none() || class.is_some_and(|c| c.effect == Effect::Safe || keyed(c));
-        let request = open.request.id;
-        if !harmless || self.now >= open.deadline {
-            actions.push(Action::Fail { request });
-            return;
-        }
         let (least, more) = self.guide.pause().unwrap_or((RETRY_AFTER, RETRY_AFTER));
         let wait = least + (more as f64 * self.chance()) as Time;
         let advised = if self.settings.retry_after { wait.min(self.settings.max_retry_after) } else { 0 };
-        actions.push(Action::Refuse { request, retry_after: advised });
+        // Danger: who comes again when repeats are not discarded any more has its write run twice.
+        let kept = |c: &Class, sent: Time| self.now + advised < sent.saturating_add(c.window);
+        let keyed = |c: &Class, s| c.effect == Effect::Keyed && c.group == Group::All && kept(c, s);
+        let class = self.settings.classes.get(open.request.class);
+        let safe = |s: Time| class.is_some_and(|c| c.effect == Effect::Safe || keyed(c, s));
+        let harmless = open.ran.is_none_or(|r| safe(r.0)) && self.now < open.deadline;
+        let request = open.request.id;
+        let refuse = Action::Refuse { request: request.clone(), retry_after: advised };
+        actions.push(if harmless { refuse } else { Action::Fail { request } });
     }
 
     fn client_gone(&mut self, request: Id, actions: &mut Vec<Action>) {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -55,6 +55,25 @@
     assert!(failed(&next) && !sends(&next) && !refused(&next), "past the window: {next:?}");
 }
 
+/// A refusal says that trying again does no harm, and when: that must be within the window of what may have run.
+/// Seen failing where a refusal is given whatever the window: the client's next try was one write more.
+#[test]
+fn a_keyed_request_is_refused_only_while_its_repeats_are_still_discarded_when_its_client_comes_back() {
+    for (window, after, may_refuse) in
+        [(5 * S, 10 * MS, true), (700 * MS, 650 * MS, false), (50 * MS, 60 * MS, false)]
+    {
+        let mut set = settings();
+        set.max_attempts = 1;
+        (set.classes[KEYED].group, set.classes[KEYED].window) = (Group::All, window);
+        let mut r = router_with(set, fleet());
+        ask(&mut r, T0 + S, "a", KEYED, 5);
+        let last = finish(&mut r, T0 + S + after, "a", 0, Code::Reset);
+        assert_eq!((refused(&last), failed(&last)), (may_refuse, !may_refuse), "{window}: {last:?}");
+        let [Action::Refuse { retry_after, .. }] = last[..] else { continue };
+        assert!(after + retry_after < window);
+    }
+}
+
 #[test]
 fn a_time_out_at_the_deadline_is_answered_at_once() {
     let mut r = router();
