Membership: a start that was found out stands until the source tells a new one

A depot that could not be reached and answers again is taken for a new, cold process (restarted). The next record with the old start, as a whole list or word of a drain has it, put the old start back (set: slot.entry = entry), and the cold depot counted as warm. While the list said draining, a restart was not noted at all (restarted: listed != Healthy), and the depot was warm when told ready again. And who was told gone and came back with a later start, of a source that tells no process, kept connections from before that start (set: replace only where process != 0). Ruled out by test: addresses swapped by two ids in one event, a process that restarts twice in one portion, gone and back within one portion. Change: a slot keeps the start as the source last told it; only another one replaces what was found out.

--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -102,6 +102,8 @@
     entry: Entry,
     /// Which claim to its address it makes: a later one is a larger number.
     claim: u64,
+    /// Its start as the source last told it; what the entry has may be later, where a start was found out.
+    told_start: Time,
     /// Its address is another's by now.
     shadowed: bool,
     /// The moment from which nothing new may be written.
@@ -211,7 +213,9 @@
                 closed: (entry.listed != Listed::Healthy).then_some(now),
                 told: None,
                 // Under this id another process may have been told as gone, with connections that are not idle.
-                replace: (entry.process != 0).then_some(ALL),
+                // Where none is told of, those from before its start are that one's.
+                replace: if entry.process != 0 { Some(ALL) } else { Some(entry.started).filter(|&s| s > 0) },
+                told_start: entry.started,
                 waits: Waits::No,
                 entry,
             };
@@ -220,14 +224,17 @@
             self.claim(now, address, &id);
             return self.queue(&id);
         };
+        // Guards the cold rule: a start that was found out stands until the source tells one that it has not told
+        // before. A whole list, or word of a drain, has the old start again.
+        let same_start = std::mem::replace(&mut slot.told_start, entry.started) == entry.started;
         let old = &slot.entry;
         let reborn = old.process != entry.process && old.process != 0 && entry.process != 0;
         // Guards the cold rule: a new process is a cold one, also where its record does not tell its start.
         if reborn && entry.started <= old.started {
             entry.started = now.max(old.started + 1);
-        } else if !reborn && entry.process != 0 && entry.started == 0 {
+        } else if !reborn && (same_start || entry.process != 0 && entry.started == 0) {
             // The same process can't have started anew; a start made up for it is kept until one is told.
-            entry.started = old.started;
+            entry.started = entry.started.max(old.started);
         }
         if *old == entry {
             return;
@@ -253,14 +260,18 @@
     }
 
     /// A depot's process that could not be reached answers again: a new one, started at the latest at `at`.
-    /// Guards the cold rule where the list tells the start late or never; what it tells later goes before this.
+    /// Guards the cold rule where the list tells the start late or never; a start that it tells later goes before
+    /// this. Also of one that drains: it may be told ready again.
     pub fn restarted(&mut self, now: Time, id: &str, at: Time) {
         let Some(slot) = self.slots.get(id) else { return };
-        if slot.entry.listed != Listed::Healthy || slot.entry.started >= at {
+        if slot.entry.listed == Listed::Gone || slot.entry.started >= at {
             return;
         }
-        let entry = Entry { started: at, ..slot.entry.clone() };
+        let (entry, told) = (Entry { started: at, ..slot.entry.clone() }, slot.told_start);
         self.set(now, entry);
+        if let Some(slot) = self.slots.get_mut(id) {
+            slot.told_start = told;
+        }
     }
 
     /// A depot is there no more.
--- a/src/membership/tests.rs
+++ b/src/membership/tests.rs
@@ -120,6 +120,87 @@
     assert_eq!(listed(&taken(&mut list)), [("b1", Draining, Keep)]);
 }
 
+/// A start that was found out by dialing stands while the source goes on telling the one before it: in a whole list
+/// that comes late, with word of a drain, and with word that it is ready again. It used to be forgotten, and the cold
+/// depot was sent what a warm one bears.
+#[test]
+fn a_start_that_was_found_out_stands_until_the_source_tells_a_new_one() {
+    let told = |listed, started| Entry { started, ..entry(1, 1, listed, 0) };
+    let mut list = Membership::new(10);
+    list.put(NOW, told(Healthy, 50)).unwrap();
+    taken(&mut list);
+    list.restarted(NOW + 5, "b1", NOW + 4);
+    assert_eq!(taken(&mut list)[0].member.started, NOW + 4);
+    list.whole(NOW + 6, vec![told(Healthy, 50)]).unwrap();
+    assert!(taken(&mut list).is_empty() && list.entry("b1").unwrap().started == NOW + 4);
+    list.put(NOW + 7, told(Draining, 50)).unwrap();
+    assert_eq!(taken(&mut list)[0].member.started, NOW + 4);
+    // Found out while it drains: it comes back as what it is.
+    list.restarted(NOW + 9, "b1", NOW + 8);
+    assert!(!list.takes_work("b1"));
+    taken(&mut list);
+    list.put(NOW + 10, told(Healthy, 50)).unwrap();
+    assert_eq!(taken(&mut list)[0].member.started, NOW + 8);
+    // What the source tells for the first time is right, also where it is earlier than the dial that found it out.
+    list.put(NOW + 11, told(Healthy, NOW + 6)).unwrap();
+    assert_eq!(taken(&mut list)[0].member.started, NOW + 6);
+}
+
+/// Gone and back with a later start, each told by itself: connections from before the start lead to what is no more.
+#[test]
+fn who_comes_back_after_it_was_told_gone_gets_no_connection_from_before_its_start() {
+    for between in [false, true] {
+        let mut list = Membership::new(10);
+        list.put(NOW, entry(1, 1, Healthy, 0)).unwrap();
+        taken(&mut list);
+        list.remove(NOW + 1, "b1");
+        if between {
+            assert_eq!(listed(&taken(&mut list)), [("b1", Gone, End)]);
+        }
+        list.put(NOW + 2, Entry { started: NOW + 1, ..entry(1, 1, Healthy, 0) }).unwrap();
+        assert_eq!(listed(&taken(&mut list)), [("b1", Healthy, ReplaceBefore(NOW + 1))], "{between}");
+        assert!(list.takes_work("b1"));
+    }
+}
+
+#[test]
+fn two_that_swap_their_addresses_in_one_event_are_both_there_and_reached_anew() {
+    for (one, two) in [(0, 0), (0, 70), (70, 0)] {
+        let mut list = Membership::new(10);
+        let at = |id, port, started| Entry { started, ..entry(id, port, Healthy, 0) };
+        list.whole(NOW, vec![at(1, 1, one), at(2, 2, two)]).unwrap();
+        taken(&mut list);
+        list.put(NOW + 1, at(1, 2, one)).unwrap();
+        list.put(NOW + 1, at(2, 1, two)).unwrap();
+        assert!(list.takes_work("b1") && list.takes_work("b2"));
+        let changes = taken(&mut list);
+        let mut told = listed(&changes);
+        told.sort_by_key(|t| t.0);
+        assert_eq!(told, [("b1", Healthy, ReplaceBefore(ALL)), ("b2", Healthy, ReplaceBefore(ALL))]);
+        assert_eq!(list.counts(), Counts { ready: 2, ..Counts::default() });
+    }
+}
+
+#[test]
+fn a_process_that_restarts_twice_in_one_portion_is_the_last_one() {
+    let mut list = Membership::new(10);
+    list.put(NOW, entry(1, 1, Healthy, 1)).unwrap();
+    taken(&mut list);
+    list.put(NOW + 1, entry(1, 1, Healthy, 2)).unwrap();
+    list.put(NOW + 2, entry(1, 1, Healthy, 3)).unwrap();
+    let changes = taken(&mut list);
+    assert_eq!(listed(&changes), [("b1", Healthy, ReplaceBefore(ALL))]);
+    assert_eq!(changes[0].member.started, NOW + 2);
+    let started = |started, at| (Entry { started, ..entry(2, 2, Healthy, 0) }, at);
+    for (entry, at) in [started(0, 0), started(50, 1), started(60, 2)] {
+        list.put(NOW + at, entry).unwrap();
+        if at == 0 {
+            taken(&mut list);
+        }
+    }
+    assert_eq!(listed(&taken(&mut list)), [("b2", Healthy, ReplaceBefore(60))]);
+}
+
 #[derive(Clone, Debug)]
 enum Step {
     Put(Entry),
