Settings: figures that sums run over with, sites without zones, patience of those who have not heard

Seen, by reading: - A deadline cut to less than a quarter by SIGHUP: clients hear of it 1.2 s later, and until then a patience of the old length was 'out of range', which ends the connection with all that is open on it (named gave the new deadline at once). Now the longest that is still served under the name holds until they have heard. - fall-us, tip-multiple or start-capacity of 0 with a ramp: the budget of a cold server is 0, nothing is sent before the ramp is over, and with a share of 0 the sum 'window + turn' in cold_budget's caller runs over. Now each has a default that is written down. - promise-us, dial-timeout-us, fall-us and others near the end of their range: sums ran over. Now refused with key, value and range, as is a zone that failure-domains lack and a stretch below 0. - max-open absent: one request at a time. Now as many as memory has room for. - No failure-domains or no kinds: no depot of the list could be read, and the start ended.

--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -215,7 +215,10 @@
         let not_json = |e| ConfigError::NotJson(path.clone(), e);
         let file: File = serde_json::from_str(text).map_err(not_json)?;
         let keys = settings::keys(&serde_json::from_str(text).map_err(not_json)?);
-        let settings = file.settings;
+        let mut settings = file.settings;
+        if settings.limits.max_open == 0 {
+            settings.limits.max_open = usize::MAX;
+        }
         let command = |event: KnownEvent| known(event, &settings);
         let known = file.known.cmds.into_iter().map(command).collect::<Result<Vec<_>, _>>()?;
         settings.check().map_err(|(what, value)| ConfigError::Value(what, value))?;
@@ -290,7 +293,10 @@
 }
 
 fn record(entry: Instance, settings: &Document) -> Result<Record, ConfigError> {
-    let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
+    // Where the settings name no zones, or no kinds, all are of the one that there is.
+    let one = |names: &[String], name: &str| names.is_empty() || names.len() == 1 && name.is_empty();
+    let place =
+        |names: &[String], name: &str| names.iter().position(|n| n == name).or(one(names, name).then_some(0));
     let state = match entry.lifecycle.as_str() {
         "SERVING" => State::Ready,
         "DRAINING" => State::Draining,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -13,6 +13,12 @@
 pub const STILL_KNOWN: Time = 30_000_000;
 /// Longest time that a class may give its requests: a day.
 const LONGEST: Time = 86_400_000_000;
+/// Window over which the load on a cold server counts where the settings give none.
+const FALL_WINDOW: Time = 1_000_000;
+/// Least share of its capacity that a server is taken to start at: of none at all nothing could ever be sent.
+const LEAST_START: f64 = 0.01;
+/// Most by which a class may stretch what it promises.
+const MOST_STRETCH: f64 = 1e6;
 /// Datagrams a second to other doormans where the settings give none: ten times what a small fleet takes.
 pub const PEER_DATAGRAMS: u32 = 100;
 
@@ -56,9 +62,9 @@
     pub promise_us: Time,
     /// The longest that a client waits.
     pub deadline_us: Time,
-    /// `idempotent`, `deduplicated` or `at_most_once`.
+    /// `idempotent`, `deduplicated` or `at_most_once`; anything else binds as the last does.
     pub semantics: String,
-    /// `all`, `zone` or `cell`.
+    /// `all`, `zone` or `cell`; anything else binds as the last does.
     pub dedup_scope: String,
     /// See [`Class::window`].
     pub window_us: Time,
@@ -97,6 +103,7 @@
     pub conn_idle_us: Time,
     pub dial_timeout_us: Time,
     pub max_attempts: u32,
+    /// Requests open at a time; 0 or absent: as many as memory has room for.
     pub max_open: usize,
     pub may_cancel: bool,
     pub may_tell: bool,
@@ -131,17 +138,13 @@
             pace_kb_s: d.flow_kb_per_s,
             link_kb_s: d.inlet_kb_per_s.clone(),
             weights_are_sizes: matches!(self.weight_source.as_str(), "nominal" | "rough"),
-            cache_start: ColdStart {
-                share: self.rules.start_capacity,
-                ramp: self.rules.warm_within_us,
-                multiple: self.rules.tip_multiple,
-            },
-            parent_start: ColdStart {
-                share: d.parent_cold_from,
-                ramp: d.parent_ramp_us,
-                multiple: d.parent_breaks_at,
-            },
-            fall_window: self.rules.fall_us,
+            cache_start: cold_start(
+                self.rules.start_capacity,
+                self.rules.warm_within_us,
+                self.rules.tip_multiple,
+            ),
+            parent_start: cold_start(d.parent_cold_from, d.parent_ramp_us, d.parent_breaks_at),
+            fall_window: if self.rules.fall_us == 0 { FALL_WINDOW } else { self.rules.fall_us },
             purge_done: d.purge_done_us,
             direct: d.direct,
             can_join: d.can_join,
@@ -192,6 +195,13 @@
     }
 }
 
+/// A share that is not told counts as the least, a multiple that is not told as 1: a server with a ramp but
+/// without these would never be sent anything before its ramp is over. Without a ramp nothing is ever cold.
+fn cold_start(share: f64, ramp: Time, multiple: f64) -> ColdStart {
+    let multiple = if multiple > 0.0 { multiple } else { 1.0 };
+    ColdStart { share: share.clamp(LEAST_START, 1.0), ramp, multiple }
+}
+
 // ---- checks ----
 
 /// What makes settings unusable: the key and what is wrong with its value.
@@ -211,7 +221,36 @@
                 return Err(("settings.classes: deadline-us", what));
             }
         }
+        // Sums of times must not run over.
+        for class in &self.classes {
+            let ClassEntry { name, promise_us, window_us, aim_stretch, .. } = class;
+            for (what, time) in
+                [("settings.classes: promise-us", *promise_us), ("settings.classes: window-us", *window_us)]
+            {
+                if time > LONGEST {
+                    return Err((what, format!("{time} of class {name} ({LONGEST} at most)")));
+                }
+            }
+            if !(0.0..=MOST_STRETCH).contains(aim_stretch) {
+                let what = format!("{aim_stretch} of class {name} (0 to {MOST_STRETCH})");
+                return Err(("settings.classes: aim-stretch", what));
+            }
+        }
         let d = &self.domain;
+        let times = [
+            ("settings.limits.dial-timeout-us", limits.dial_timeout_us),
+            ("settings.rules.fall-us", self.rules.fall_us),
+            ("settings.rules.warm-within-us", self.rules.warm_within_us),
+            ("settings.domain.parent-ramp-us", d.parent_ramp_us),
+            ("settings.domain.purge-done-us", d.purge_done_us),
+        ];
+        if let Some((what, time)) = times.iter().find(|t| t.1 > LONGEST) {
+            return Err((what, format!("{time} ({LONGEST} at most)")));
+        }
+        let zones = self.failure_domains.len();
+        if zones > 0 && self.zone >= zones {
+            return Err(("settings.zone", format!("{} (there are {zones} failure-domains)", self.zone)));
+        }
         let lists = [
             ("settings.domain.max-age-us", d.max_age_us.len()),
             ("settings.domain.stale-for-us", d.stale_for_us.len()),
@@ -336,13 +375,18 @@
         }
     }
 
-    /// What a name stands for now. A class defined anew stands for what it is now.
+    /// What a name stands for now. A class defined anew stands for what it is now; its clients wait as long as it
+    /// said before until they have heard.
+    /// Guards those who go by the old settings: a patience that no client can mean ends its connection, with all
+    /// that is open on it.
     pub fn named(&self, now: Time, name: &str) -> Named<'_> {
         let age = |s: &Slot| s.dropped.map_or(0, |t| now.saturating_sub(t));
         let of_name = self.slots.iter().enumerate().filter(|s| s.1.name == name);
         match of_name.min_by_key(|s| (s.1.dropped.is_some(), age(s.1))) {
             Some((n, s)) if s.dropped.is_none() || age(s) < STILL_SERVED => {
-                Named::Class(n, s.deadline, &s.class)
+                let heard = |s: &&Slot| s.name == name && age(s) < STILL_SERVED;
+                let longest = self.slots.iter().filter(heard).map(|s| s.deadline).max();
+                Named::Class(n, longest.unwrap_or(s.deadline), &s.class)
             }
             Some((_, s)) if age(s) < STILL_KNOWN => Named::Dropped,
             _ => Named::Unknown,
@@ -360,6 +404,12 @@
         self.slots[number].open = self.slots[number].open.saturating_sub(1);
     }
 
+    /// Requests that are open, of all classes.
+    #[cfg(test)]
+    pub fn open(&self) -> usize {
+        self.slots.iter().map(|s| s.open).sum()
+    }
+
     /// The longest that any client waits.
     pub fn longest(&self) -> Time {
         self.slots.iter().filter(|s| s.dropped.is_none()).map(|s| s.deadline).max().unwrap_or(0)
@@ -437,7 +487,19 @@
         (l.multiplex, l.max_attempts, l.dial_timeout_us, l.conn_idle_us) = (1, 1, 1, 1);
         assert_eq!(good.check(), Ok(()));
         type Spoil = fn(&mut Document);
-        let spoils: [(&str, Spoil); 9] = [
+        let spoils: [(&str, Spoil); 21] = [
+            ("multiplex", |d| d.limits.multiplex = 0),
+            ("dial-timeout-us", |d| d.limits.dial_timeout_us = 0),
+            ("dial-timeout-us", |d| d.limits.dial_timeout_us = Time::MAX),
+            ("fall-us", |d| d.rules.fall_us = Time::MAX),
+            ("warm-within-us", |d| d.rules.warm_within_us = LONGEST + 1),
+            ("parent-ramp-us", |d| d.domain.parent_ramp_us = LONGEST + 1),
+            ("purge-done-us", |d| d.domain.purge_done_us = LONGEST + 1),
+            ("promise-us", |d| d.classes[0].promise_us = Time::MAX),
+            ("window-us", |d| d.classes[0].window_us = Time::MAX),
+            ("aim-stretch", |d| d.classes[0].aim_stretch = -1.0),
+            ("max-age-us", |d| d.domain.max_age_us = vec![1, 2]),
+            ("settings.zone", |d| (d.failure_domains, d.zone) = (vec!["x".into()], 1)),
             ("peer-datagrams-per-s", |d| d.limits.peer_datagrams_per_s = Some(0)),
             ("pass-on", |d| d.domain.pass_on = vec![true, false]),
             ("deadline-us", |d| d.classes[0].deadline_us = 0),
@@ -462,6 +524,38 @@
         assert_eq!(all, ["classes", "classes[].a", "known", "seed"]);
     }
 
+    /// What settings of other customers leave out, or have as 0, and what it then means.
+    #[test]
+    fn what_is_absent_has_a_meaning_under_which_something_can_be_served() {
+        let mut bare = document(&[("a", 1, "idempotent"), ("b", 2, "deduplicated"), ("c", 3, "?")]);
+        (bare.rules.warm_within_us, bare.domain.parent_ramp_us) = (5, 6);
+        let told = bare.for_router();
+        assert_eq!((told.fall_window, told.purge_done, told.max_retry_after), (FALL_WINDOW, 0, 0));
+        for start in [told.cache_start, told.parent_start] {
+            assert!(start.share == LEAST_START && start.multiple == 1.0 && start.ramp > 0, "{start:?}");
+        }
+        // Lists that are empty, or short where they go by zones.
+        bare.domain.crew_by_zone = vec![3];
+        assert_eq!(bare.for_router().routers_by_zone, [3]);
+        let last = &told.classes[2];
+        assert_eq!((last.effect, last.group, last.window), (Effect::Unsafe, Group::Cell, 0));
+        assert!(told.classes.iter().all(|c| (c.fresh, c.grace, c.uncacheable) == (0, 0, false)));
+        // A share above the whole, and no ramp at all.
+        bare.rules.start_capacity = 7.0;
+        bare.rules.warm_within_us = 0;
+        let start = bare.for_router().cache_start;
+        assert_eq!((start.share, start.ramp), (1.0, 0));
+        // The longest wait goes by names that are still served, and no longer.
+        let mut classes = Classes::default();
+        classes.adopt(0, &document(&[("a", 9, "idempotent")]));
+        classes.adopt(10, &document(&[("a", 2, "idempotent")]));
+        let deadline = |now| match classes.named(now, "a") {
+            Named::Class(_, deadline, _) => deadline,
+            other => panic!("{other:?}"),
+        };
+        assert_eq!((deadline(9 + STILL_SERVED), deadline(10 + STILL_SERVED)), (9, 2));
+    }
+
     proptest! {
         #![proptest_config(crate::net::testing::config())]
 
