Hand-over: knocks and connections that cross the other process's end or start

Seen, by reading, each with a test that forces the order: - open() replaced its socket when a successor ended and dropped those still in the old one's queue: a next process that had knocked a moment before started as if alone, and both took the whole of the bounds. The old queue is now emptied after the new name is in place. - Offered a shared listener, a successor without a list of depots took connections at once and told clients and the front that it was not ready, beside a process that was. The listener is heard of from its first service, or from the end of the one before, on. - follow_processes let idle clients go to keep half of the bounds, and half a request counted as idle. - find() connected without a bound: with the queue of a hanging process full the start waited for ever. Ruled out by tests that pass before and after: hello in two pieces; 'serving' and the end in one read; SIGTERM before, with and after 'serving', twice, then the successor's end; several SIGHUP and SIGTERM in one turn; a class's effect, deadline, attempts and places changed under requests that wait for a dial or are out; a class dropped and there again.

--- a/src/net/doorman/handover.rs
+++ b/src/net/doorman/handover.rs
@@ -46,10 +46,12 @@
     shared: bool,
     /// It has taken clients, and the other one knows.
     serves: bool,
+    /// The listener waits for that: what comes is the other one's.
+    waits: bool,
 }
 
 /// A file of this doorman's; other doormans may have the same folder.
-fn path(folder: &Path, who: &Identity, kind: &str) -> PathBuf {
+pub(super) fn path(folder: &Path, who: &Identity, kind: &str) -> PathBuf {
     let of = xxhash_rust::xxh3::xxh3_64(format!("{} {}", who.name, who.listen).as_bytes());
     folder.join(format!("larchdale-{of:016x}.{kind}"))
 }
@@ -57,8 +59,13 @@
 /// Looks for a process of this doorman that takes clients, and asks it for its listener. An error: it has a
 /// successor already.
 pub(super) fn find(folder: &Path, who: &Identity, log: &Logger) -> io::Result<Option<Found>> {
-    let mut stream = match std::os::unix::net::UnixStream::connect(path(folder, who, "sock")) {
-        Ok(stream) => stream,
+    // Guards a start behind a process that hangs: to connect where its queue is full would wait without end.
+    let mut stream = match UnixStream::connect(path(folder, who, "sock")) {
+        Ok(stream) => std::os::unix::net::UnixStream::from(stream),
+        Err(e) if e.kind() == ErrorKind::WouldBlock => {
+            warn!(log, "the process before takes nobody"; "error" => %e);
+            return Ok(None);
+        }
         Err(e) => {
             // Nobody was before it, or who was left the name behind.
             debug!(log, "no process to take over from"; "why" => %e);
@@ -66,6 +73,7 @@
         }
     };
     let talk = (|| {
+        stream.set_nonblocking(false)?;
         stream.set_read_timeout(Some(ANSWERED_WITHIN))?;
         stream.set_write_timeout(Some(ANSWERED_WITHIN))?;
         stream.write_all(&handover::line(&handover::hello(who.clone())))?;
@@ -142,6 +150,7 @@
             predecessor,
             shared,
             serves: false,
+            waits: false,
         }
     }
 
@@ -180,7 +189,7 @@
     }
 
     /// From now on the next process finds this one.
-    fn open(&mut self, event_loop: &mut EventLoop, log: &Logger) {
+    fn open(&mut self, now: Time, event_loop: &mut EventLoop, log: &Logger) {
         let name = path(&self.folder, &self.who, "sock");
         let new = name.with_extension(format!("sock.{}", std::process::id()));
         let _ = std::fs::remove_file(&new);
@@ -190,7 +199,12 @@
             Ok((token, listener))
         });
         match bound {
-            Ok(socket) => self.socket = Some(socket),
+            Ok(socket) => {
+                // Guards a next process that came by the old name a moment ago: closed unheard, it would start
+                // without knowing of this one, and both would take the whole of the bounds.
+                self.accept(now, event_loop);
+                self.socket = Some(socket);
+            }
             Err(e) => {
                 let _ = std::fs::remove_file(&new);
                 warn!(log, "a next process will find nobody to take over from"; "error" => %e);
@@ -199,7 +213,7 @@
     }
 
     /// This process takes clients: the one before hears of it, and the next one finds this one.
-    fn serving(&mut self, event_loop: &mut EventLoop, log: &Logger) {
+    fn serving(&mut self, now: Time, event_loop: &mut EventLoop, log: &Logger) {
         if std::mem::replace(&mut self.serves, true) {
             return;
         }
@@ -210,7 +224,7 @@
                 warn!(log, "the process before was not told"; "error" => %e);
             }
         }
-        self.open(event_loop, log);
+        self.open(now, event_loop, log);
     }
 
     /// Lets those go who have knocked and said nothing: there are few places.
@@ -292,7 +306,11 @@
             happened = self.visited(&mut side, event.token);
         }
         let changed = side.is_beside() != before;
+        let alone = side.predecessor.is_none();
         self.handover = Some(side);
+        if alone {
+            self.take_connections();
+        }
         if changed {
             self.follow_processes();
         }
@@ -331,7 +349,7 @@
         if side.offers.ended(token) {
             info!(self.log, "the process that took over has ended");
             // Its name led to that one.
-            side.open(&mut self.event_loop, &self.log);
+            side.open(self.now, &mut self.event_loop, &self.log);
             return Some(Life::SuccessorGone);
         }
         happened
@@ -347,6 +365,7 @@
 
     /// Takes up what the process before left in force.
     pub(super) fn inherit(&mut self) {
+        self.leave_connections();
         let Some(state) = self.handover.as_ref().and_then(|h| h.state(&self.log)) else { return };
         info!(self.log, "taking over"; "purges" => state.purges.len());
         for (object, group, when_ms) in state.purges {
@@ -358,21 +377,43 @@
     /// Clients are taken for the first time.
     pub(super) fn take_over(&mut self) {
         if let Some(side) = &mut self.handover {
-            side.serving(&mut self.event_loop, &self.log);
+            side.serving(self.now, &mut self.event_loop, &self.log);
+        }
+        self.take_connections();
+    }
+
+    /// Leaves what comes by a listener that both processes have to the other one, which serves.
+    /// Guards clients, and the front that asks who is ready, while this process has no list of depots yet.
+    fn leave_connections(&mut self) {
+        let Some(side) = self.handover.as_mut().filter(|h| h.shared && h.predecessor.is_some()) else {
+            return;
+        };
+        side.waits = self.event_loop.remove(&mut self.listener.1).is_ok();
+    }
+
+    /// Takes connections from now on: this process serves, or nobody else does.
+    fn take_connections(&mut self) {
+        let Some(side) = self.handover.as_mut().filter(|h| h.waits) else { return };
+        side.waits = false;
+        match self.event_loop.add(&mut self.listener.1, Interest::READABLE) {
+            Ok(token) => self.listener.0 = token,
+            Err(e) => warn!(self.log, "connections are not heard of"; "error" => %e),
         }
+        self.accept();
     }
 
     /// Two processes have half of the bounds each, and of what cold depots bear.
     fn follow_processes(&mut self) {
         self.follow_limits();
         self.tell_settings();
-        // What is idle above the bounds goes at once; what is in use as it ends.
+        // What is idle above the bounds goes at once; what is in use as it ends. Half a request is in use.
         let over = self.pool.len().saturating_sub(self.bounds.upstream);
         for token in self.pool.idle(self.now, 0).into_iter().take(over) {
             self.lose_link(token);
         }
+        let idle = |c: &Client| c.is_idle() && !c.conn.is_partial() && !c.conn.has_unread();
         let mut idle: Vec<(Time, Token)> =
-            self.clients.iter().filter(|c| c.1.is_idle()).map(|c| (c.1.used, *c.0)).collect();
+            self.clients.iter().filter(|c| idle(c.1)).map(|c| (c.1.used, *c.0)).collect();
         idle.sort_unstable();
         let over = self.clients.len().saturating_sub(self.bounds.clients);
         for (_, token) in idle.into_iter().take(over) {
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -136,6 +136,11 @@
         Ok(token)
     }
 
+    /// Watches a socket no more, until it is added again.
+    pub fn remove(&mut self, source: &mut impl Source) -> io::Result<()> {
+        self.poll.registry().deregister(source)
+    }
+
     /// Begins to connect; the poll tells how it ends.
     pub fn connect(&mut self, address: SocketAddr) -> io::Result<(Token, TcpStream)> {
         let mut stream = TcpStream::connect(address)?;
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -60,10 +60,20 @@
 }
 
 fn command(folder: &Path, listen: &str, door: &str) -> Command {
+    command_with(folder, listen, door, |_| {})
+}
+
+fn command_with(
+    folder: &Path,
+    listen: &str,
+    door: &str,
+    change: impl FnOnce(&mut serde_json::Value),
+) -> Command {
     let mut config: serde_json::Value =
         serde_json::from_str(include_str!("../examples/config.json")).unwrap();
     config["listen"] = listen.into();
     config["channel"] = "127.0.0.1:9".into();
+    change(&mut config);
     let path = folder.join("config");
     std::fs::write(&path, config.to_string()).unwrap();
     let mut command = Command::new(env!("CARGO_BIN_EXE_larchdale"));
@@ -77,8 +87,12 @@
 
 /// Starts a process and waits until it listens.
 fn start(folder: &Path, listen: &str) -> Process {
+    start_with(folder, listen, |_| {})
+}
+
+fn start_with(folder: &Path, listen: &str, change: impl FnOnce(&mut serde_json::Value)) -> Process {
     let door = free();
-    let mut child = command(folder, listen, &door).spawn().unwrap();
+    let mut child = command_with(folder, listen, &door, change).spawn().unwrap();
     let log = BufReader::new(child.stderr.take().unwrap());
     let mut process = Process { child, log, door };
     process.logs("listening");
@@ -113,9 +127,18 @@
 
 /// What the front hears on a new connection.
 fn ready(listen: &str) -> u8 {
+    is_ready(asks(listen))
+}
+
+/// A new connection on which the front has asked.
+fn asks(listen: &str) -> TcpStream {
     let mut client = TcpStream::connect(listen).unwrap();
     client.set_read_timeout(Some(HANG)).unwrap();
     client.write_all(&[0, 0, 0, 6, 1, 0, 0, 0, 9, 0]).unwrap();
+    client
+}
+
+fn is_ready(mut client: TcpStream) -> u8 {
     let mut answer = [0; 11];
     client.read_exact(&mut answer).unwrap();
     answer[9]
@@ -264,3 +287,48 @@
         assert!(text.contains(&door), "{text}");
     }
 }
+
+fn no_list(config: &mut serde_json::Value) {
+    config["known"] = serde_json::json!({"cursor": 0, "cmds": []});
+}
+
+/// The second process has no list of depots yet. It used to take connections all the same, and told the front, and
+/// clients, that the doorman was not ready, while the first one beside it was.
+#[test]
+fn a_second_process_takes_no_connections_before_it_serves_or_is_alone() {
+    let (folder, listen) = (Folder::new("no-list"), free());
+    let mut first = start(&folder.0, &listen);
+    let mut second = start_with(&folder.0, &listen, no_list);
+    first.logs("another process takes over");
+    // With the first one held, only the second could take what comes now; it has had turns enough to.
+    first.signal("-STOP");
+    let waiting = asks(&listen);
+    for _ in 0..3 {
+        assert_eq!(second.call("status"), "error not serving: starting\n");
+    }
+    first.signal("-CONT");
+    assert_eq!(is_ready(waiting), 20);
+    // The first one ends before the second serves: nobody else takes them now.
+    assert_eq!(first.end().code(), Some(0));
+    second.logs("the process before has ended");
+    assert_ne!(ready(&listen), 20);
+    assert_eq!(second.end().code(), Some(0));
+}
+
+/// Held, the process finds all its signals in one turn: the file is read once, and before it is told to end.
+#[test]
+fn signals_that_come_together_are_each_heard_once() {
+    let (folder, listen) = (Folder::new("signals"), free());
+    let mut process = start(&folder.0, &listen);
+    process.signal("-STOP");
+    for signal in ["-HUP", "-HUP", "-TERM", "-TERM", "-CONT"] {
+        process.signal(signal);
+    }
+    assert_eq!(process.child.wait().unwrap().code(), Some(0));
+    let lines: Vec<String> = process.log.by_ref().lines().map(Result::unwrap).collect();
+    let places = |text: &str| -> Vec<usize> {
+        lines.iter().enumerate().filter(|l| l.1.contains(text)).map(|l| l.0).collect()
+    };
+    let (read, end) = (places("configuration read again"), places("told to end"));
+    assert!(read.len() == 1 && end.len() == 1 && read < end, "{lines:?}");
+}
