--- a/src/net/doorman/tests/processes.rs
+++ b/src/net/doorman/tests/processes.rs
@@ -70,11 +70,12 @@
     for served in [false, true] {
         let mut f = Found::new("knocks", |_| {});
         let mut successor = f.successor();
-        let mut next = f.knock();
         if served {
             successor.write_all(&serving(true)).unwrap();
         }
+        // In this order: its end is what the next turn sees first.
         drop(successor);
+        let mut next = f.knock();
         next.write_all(&f.hello()).unwrap();
         f.offered(&mut next);
         assert!(f.w.doorman.is_beside() && f.w.doorman.life.takes_clients());
