--- a/src/net/doorman/tests/processes.rs
+++ b/src/net/doorman/tests/processes.rs
@@ -270,6 +270,34 @@
     assert_eq!(w.frame(&mut client).1, 0, "nobody means that any more");
 }
 
+/// The same for a class that becomes a keyed one: a client that has not heard sends no key.
+#[test]
+#[ignore = "fails until `fits` and `request` in clients.rs refuse such a request on its stream alone"]
+fn who_has_not_heard_that_a_class_wants_a_key_keeps_the_connection() {
+    let mut w = World::new();
+    let (mut client, mut cache, _) = w.asked();
+    w.resettle("keyed", |s| s["classes"][0]["semantics"] = "deduplicated".into());
+    client.put(&request(2, 2, "clip"));
+    let (_, stream, payload) = w.frame(&mut client);
+    assert_eq!((stream, payload[0]), (2, 50));
+    cache.put(&answer(&trace(1), "ok", "-", "x"));
+    assert_eq!(w.frame(&mut client).1, 1);
+}
+
+/// Two wait for one dial when the settings come to allow one request a connection.
+#[test]
+#[ignore = "fails until `link_ready` in upstream.rs writes no more of those who wait than `multiplex` allows"]
+fn no_more_are_written_to_a_connection_than_the_settings_allow_by_then() {
+    let mut w = World::new();
+    let mut client = w.client();
+    client.put(&[request(1, 1, "clip"), request(2, 2, "clip")].concat());
+    w.until("a dial", |d| d.pool.links().any(|l| l.1.waiting.len() == 2).then_some(()));
+    w.resettle("multiplex", |s| s["limits"]["multiplex"] = 1.into());
+    let mut cache = w.cache();
+    w.command(&mut cache);
+    assert!(w.doorman.pool.links().all(|l| l.1.out.len() <= 1));
+}
+
 /// A class is dropped and comes again as it was, while a request of it is open, and with SIGTERM behind it in one turn.
 #[test]
 fn a_class_dropped_and_there_again_is_the_one_that_it_was() {
