--- a/src/net/doorman/tests.rs
+++ b/src/net/doorman/tests.rs
@@ -3,6 +3,7 @@
 
 mod copies;
 mod crossings;
+mod processes;
 
 use super::*;
 use bytes::{BufMut, BytesMut};
