Clients that go come first in a turn, those that ask last

Two events of one turn: the answer after which another depot would be tried, and the end of the client. In the order of the poll the further attempt began first; after a turn that kept all waiting that is long after the end. Ends of clients come before the depots' answers now, and requests after them. Test on real connections with the answer there first, seen failing in the order of the poll. The test of a process's last moment drops the doorman before it looks, so that it fails rather than hangs without the mend.

--- a/src/net/doorman.rs
+++ b/src/net/doorman.rs
@@ -63,8 +63,6 @@
 const STREAMS: usize = 32;
 /// Requests of one connection that may be taken back beyond those that are answered.
 const TAKEN_BACK: u32 = 64;
-/// No client waits longer than this many times what its class allows, and no part takes longer to send.
-const OUT_OF_RANGE: u64 = 4;
 /// Kept back of a client's patience, so that an answer at the last moment is out before it ends. Timers come up
 /// to 1 ms late. It is kept small: a client in a hurry, who waits 40 ms in all, is served in what is left.
 const MARGIN: Time = 4 * MS;
@@ -384,10 +382,12 @@
         let mut ready = std::mem::take(&mut self.ready);
         self.event_loop.wait(Duration::from_micros(wait), &mut ready)?;
         self.now = self.clock.now();
-        // Operators first: what they are told must not wait for what clients have brought. Clients last: what they ask
-        // must not go to a depot whose drain, or on a connection whose end, came in the same turn.
+        // Operators first: what they are told must not wait for what clients have brought. Clients that go before the
+        // depots, whose answers would lead to further attempts; those that ask after them: nothing goes to a depot
+        // whose drain, or on a connection whose end, came in the same turn.
         let (door, clients) = (self.door.as_ref(), &self.clients);
-        ready.sort_by_key(|r| (!door.is_some_and(|d| d.owns(r.token)), clients.contains_key(&r.token)));
+        let asks = |r: &Ready| clients.get(&r.token).map_or(1, |_| if r.ended { 0 } else { 2 });
+        ready.sort_by_key(|r| (!door.is_some_and(|d| d.owns(r.token)), asks(r)));
         for token in std::mem::take(&mut self.again) {
             self.ready(Ready { token, readable: false, writable: false, ended: false });
         }
--- a/src/net/doorman/clients.rs
+++ b/src/net/doorman/clients.rs
@@ -2,6 +2,8 @@
 
 use super::*;
 
+/// No client waits longer than this many times what its class allows, and no part takes longer to send.
+const OUT_OF_RANGE: u64 = 4;
 /// Connections taken in one turn, and the pause after an accept that failed for want of descriptors.
 const ACCEPTS: usize = 64;
 const ACCEPT_PAUSE: Time = 20 * MS;
--- a/src/net/doorman/tests/crossings.rs
+++ b/src/net/doorman/tests/crossings.rs
@@ -271,8 +271,9 @@
         cache
     });
     w.doorman.run_to_the_end().unwrap();
+    // The process is gone: all is on its way, or lost.
+    drop(w);
     drop(depot.join().unwrap());
-    // No turn is taken any more: all is on its way, or lost.
     let mut got = Vec::new();
     client.stream.set_nonblocking(false).unwrap();
     client.stream.read_to_end(&mut got).unwrap();
@@ -316,6 +317,22 @@
     assert_eq!(w.doorman.figures.late_answers, 1);
 }
 
+/// The answer after which another depot would be tried, and the end of the client, in one turn; the answer came first.
+/// Seen failing where events are taken in the order of the poll: a second attempt began.
+#[test]
+fn who_goes_in_the_turn_of_an_answer_has_no_further_attempt() {
+    let mut w = World::new();
+    let (client, mut cache, _) = w.asked();
+    cache.put(&answer(&trace(1), "nothing", "-", ""));
+    let token = *w.doorman.pool.links().next().unwrap().0;
+    let link = w.doorman.pool.link(token).unwrap();
+    assert!((0..1_000_000).any(|_| link.conn.transport().peek(&mut [0]).is_ok()), "the answer is there");
+    drop(client);
+    w.brought();
+    w.until("the end", |d| d.requests.is_empty().then_some(()));
+    assert_eq!(w.attempts(), 1);
+}
+
 /// An edit that may have run is not sent again where the class must not: on a connection that had ended before it was
 /// written, each such would be lost for nothing. Seen failing where events are taken in the order of the poll.
 #[test]
