--- a/src/guidance.rs
+++ b/src/guidance.rs
@@ -7,9 +7,12 @@
 use rustc_hash::FxHashMap;
 use std::collections::VecDeque;
 use std::sync::Arc;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Least work that one request is booked with, in microseconds of sending: an account has a bound by it.
 const LEAST_WORK: f64 = 1_000.0;
+/// Observations that a learned mean goes by: the plain mean of the first, and then of about so many.
+const LEARNED: f64 = 20.0;
 /// Most requests that one account keeps; beyond, it has no room until the oldest have left its window.
 const MOST_BOOKED: usize = 4_096;
 
@@ -66,6 +69,24 @@
     pub homes: Arc<[Home]>,
 }
 
+/// A learned mean.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Mean {
+    /// The mean; 0: nothing is learned.
+    pub value: f64,
+    seen: f64,
+}
+
+impl Mean {
+    /// Takes one more observation.
+    /// Danger: sizes are skewed. Begun with the first and slow to follow, the mean of a doorman that has just started
+    /// would be far too small as a rule, and cold servers would be sent several times what they bear.
+    pub fn learn(&mut self, new: f64) {
+        self.seen = (self.seen + 1.0).min(LEARNED);
+        self.value += (new - self.value) / self.seen;
+    }
+}
+
 /// Work sent over one sliding window. What was booked and did not happen is taken back.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Account {
@@ -96,6 +117,22 @@
         now >= self.last.map_or(first, |b| b.0.saturating_add(lasts(b.1.max(work))))
     }
 
+    /// As [`Account::has_room`], for servers that fall over; the first turn is part `own` of one after `since`.
+    /// Danger: turns saved up while nobody asked would all be taken at the first burst, by all doormans at once. One
+    /// that is overdue waits for one of the half windows that chance gives it, as often as turns come.
+    pub fn has_turn(&self, now: Time, window: Time, budget: f64, work: f64, since: Time, own: f64) -> bool {
+        let work = work.max(LEAST_WORK);
+        let turn = |work: f64| (work / budget * window as f64) as Time;
+        let first = since.saturating_add((own * turn(work) as f64) as Time);
+        if work <= budget || !self.has_room(now, window, budget, work, first) {
+            return self.has_room(now, window, budget, work, first);
+        }
+        let half = (window / 2).max(1);
+        let due = self.last.map_or(first, |b| b.0.saturating_add(turn(b.1.max(work))));
+        let chance = xxh3_64_with_seed(&(now / half).to_le_bytes(), own.to_bits()) as f64 / u64::MAX as f64;
+        now < due.saturating_add(half) || chance < half as f64 / turn(work) as f64
+    }
+
     /// Books work that is sent now.
     pub fn book(&mut self, now: Time, window: Time, work: f64) {
         let since = now.saturating_sub(window);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -93,11 +93,12 @@
 pub struct Settings {
     /// The router's own zone.
     pub zone: usize,
-    /// How many routers there are in all.
+    /// How many routers there are in all; 0: not told.
     pub routers: u32,
     /// How many of them serve each zone.
     pub routers_by_zone: Vec<u32>,
-    /// Processes that stand in this router's place now, one taking over from another; 0 counts as 1.
+    /// Processes that share this router's part of what cold servers bear, one taking over from another, or all that
+    /// there may be where no number is told; 0 counts as 1.
     pub processes: u32,
     /// The classes, by number.
     pub classes: Vec<Class>,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -4,7 +4,7 @@
 //! Aging State Information" (2015), eq. 24 with alpha 0: a request names as oldest copy accepted the fresh
 //! time plus gamma1 x i tenths of the grace. A hash of the object picks the cache, another the parent.
 
-use crate::guidance::{Account, Guide};
+use crate::guidance::{Account, Guide, Mean};
 use crate::interface::*;
 use crate::purges::recent::Recent;
 use std::collections::BTreeMap;
@@ -71,8 +71,6 @@
 const LEAST_PART: f64 = 0.001;
 /// Sending time in microseconds of a class until one is learned.
 const FIRST_WORK: f64 = 200_000.0;
-/// Share that one new observation has in a learned mean.
-const LEARN: f64 = 0.05;
 /// Share of late answers that does not yet cut a limit: where sizes are untold, large ones look late.
 const LATE_BORNE: f64 = 0.15;
 /// Share of the mean at which untold sizes are judged: the middle of sizes as skewed as files are.
@@ -105,6 +103,7 @@
     ejections: u32,
     on_trial: bool,
     sent: Account,
+    told: Time,
     hit_share: f64,
     limit: f64,
     usual: f64,
@@ -131,9 +130,9 @@
 }
 
 impl Server {
-    fn new(member: Member) -> Self {
+    fn new(member: Member, told: Time) -> Self {
         let key = xxh3_64_with_seed(member.id.as_bytes(), 0);
-        Server { key, member, hit_share: 0.5, share: 1.0, ..Server::default() }
+        Server { key, member, told, hit_share: 0.5, share: 1.0, ..Server::default() }
     }
 }
 
@@ -181,7 +180,7 @@
     average: f64,
     failed: f64,
     retry_tokens: f64,
-    work: Vec<f64>,
+    work: Vec<Mean>,
     purged: Recent,
     watching: bool,
     guide: Guide,
@@ -192,7 +191,7 @@
 impl Router {
     /// A router that knows nothing yet but its settings; equal seeds and events give equal actions.
     pub fn new(settings: Settings, seed: u64) -> Self {
-        let work = vec![0.0; settings.classes.len()];
+        let work = vec![Mean::default(); settings.classes.len()];
         Router { settings, seed, work, retry_tokens: RETRY_SAVED, ..Router::default() }
     }
 
@@ -241,10 +240,10 @@
 
     fn retune(&mut self, settings: Settings) {
         let old = std::mem::replace(&mut self.settings, settings);
-        self.work.resize(self.settings.classes.len(), 0.0);
+        self.work.resize(self.settings.classes.len(), Mean::default());
         let classes = old.classes.iter().zip(&self.settings.classes);
         let changed = classes.zip(&mut self.work).filter(|(c, _)| c.0 != c.1);
-        changed.for_each(|(_, work)| *work = 0.0);
+        changed.for_each(|(_, work)| *work = Mean::default());
         self.least = None;
         self.members(false, Vec::new()); // what each server bears follows the settings
     }
@@ -269,7 +268,7 @@
                 let place = free.pop().unwrap_or(self.servers.len());
                 self.servers.resize_with(self.servers.len().max(place + 1), Server::default);
                 self.by_id.insert(member.id.clone(), place);
-                let old = std::mem::replace(&mut self.servers[place], Server::new(member));
+                let old = std::mem::replace(&mut self.servers[place], Server::new(member, self.now));
                 self.by_id.remove(&old.member.id);
                 continue;
             };
@@ -277,7 +276,7 @@
             let server = &mut self.servers[index];
             // A machine that starts anew has no record; what is under way there is still to end.
             if member.started > server.member.started {
-                let old = std::mem::replace(server, Server::new(member));
+                let old = std::mem::replace(server, Server::new(member, self.now));
                 (server.out, server.usual, server.counted) = (old.out, old.usual, old.counted);
                 server.sent = old.sent;
             } else if member.listed == Listed::Gone {
@@ -484,7 +483,7 @@
     /// The routers that may send to a server.
     fn sharing(&self, member: &Member) -> f64 {
         let by_zone = self.settings.routers_by_zone.get(member.zone).filter(|_| member.role == Role::Cache);
-        f64::from(by_zone.copied().unwrap_or(self.settings.routers).max(1))
+        f64::from(by_zone.copied().filter(|&n| n > 0).unwrap_or(self.settings.routers).max(1))
     }
 
     /// What a server can send, in transfers at full pace; guessed from the links where it is not told:
@@ -565,9 +564,9 @@
         }
         let Some(budget) = self.cold_budget(s) else { return true };
         let (window, work) = (self.settings.fall_window, self.mean_work(open.request.class));
-        let turn = (own * (work / budget * window as f64)) as Time;
-        let first = server.member.started.saturating_add(window + turn);
-        server.sent.has_room(self.now, window, budget, work, first)
+        // Danger: told late, or started anew, all routers would have missed their turns and send at one moment.
+        let since = server.told.max(server.member.started.saturating_add(window));
+        server.sent.has_turn(self.now, window, budget, work, since, own)
     }
 
     /// Work this router may send to a cold server in one window; `None` where it is warm.
@@ -583,8 +582,10 @@
         let cold = server.member.started > 0 && age < start.ramp;
         let share = start.share + (1.0 - start.share) * age as f64 / start.ramp as f64;
         let whole = self.low_size(server) * share * start.multiple * window as f64;
-        let processes = f64::from(self.settings.processes.max(1));
-        cold.then(|| COLD_SHARE * whole / processes / self.sharing(&server.member))
+        // Danger: a process before this one may have spent a window's budget a moment ago; this one has no record.
+        let lived = self.now.saturating_sub(self.started.unwrap_or(0)).clamp(1, window.max(1));
+        let part = lived as f64 / window.max(1) as f64 / f64::from(self.settings.processes.max(1));
+        cold.then(|| COLD_SHARE * whole * part / self.sharing(&server.member))
     }
 
     /// A low size. Danger: sizes guessed from reports of crowded peers pushed caches over.
@@ -597,13 +598,11 @@
     }
 
     fn mean_work(&self, class: usize) -> f64 {
-        self.work.get(class).copied().filter(|&w| w > 0.0).unwrap_or(FIRST_WORK)
+        self.work.get(class).map(|w| w.value).filter(|&w| w > 0.0).unwrap_or(FIRST_WORK)
     }
 
     fn learn_work(&mut self, class: usize, work: f64) {
-        if let Some(mean) = self.work.get_mut(class) {
-            *mean += if *mean > 0.0 { LEARN * (work - *mean) } else { work };
-        }
+        self.work.get_mut(class).into_iter().for_each(|w| w.learn(work));
     }
 
     // ---- requests ----
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -55,7 +55,7 @@
 }
 
 /// Most doormans of a tier that may know each other.
-const MOST_PEERS: usize = 4096;
+const MOST_PEERS: usize = settings::MOST_DOORMANS as usize;
 
 /// Why a configuration can't be used, in one line.
 #[derive(Debug)]
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -13,6 +13,8 @@
 pub const STILL_KNOWN: Time = 30_000_000;
 /// Longest time that a class may give its requests: a day.
 const LONGEST: Time = 86_400_000_000;
+/// Most doormans of a tier that settings can name.
+pub const MOST_DOORMANS: u32 = 4_096;
 /// Datagrams a second to other doormans where the settings give none: ten times what a small fleet takes.
 pub const PEER_DATAGRAMS: u32 = 100;
 
@@ -122,10 +124,15 @@
     /// What the decision module is told.
     pub fn for_router(&self) -> Settings {
         let d = &self.domain;
+        // Where their number is not told, it is that of those that serve the zones.
+        let crew = d.crew_by_zone.iter().fold(0, |n: u32, c| n.saturating_add(*c));
+        let routers = if self.balancers == 0 { crew } else { self.balancers };
         Settings {
             zone: self.zone,
-            routers: self.balancers,
-            processes: 1,
+            routers,
+            // Danger: a doorman that is told no number would take itself for alone, and all of them together would
+            // push over what starts cold.
+            processes: if routers == 0 { MOST_DOORMANS } else { 1 },
             routers_by_zone: d.crew_by_zone.clone(),
             classes: self.classes.iter().enumerate().map(|(n, c)| self.class(n, c)).collect(),
             pace_kb_s: d.flow_kb_per_s,
@@ -369,7 +376,8 @@
     /// in this doorman's place, and neither may spend what cold depots bear of one.
     pub fn for_router(&self, document: &Document, beside: bool) -> Settings {
         let classes = self.slots.iter().map(|s| s.class.clone()).collect();
-        Settings { classes, processes: 1 + u32::from(beside), ..document.for_router() }
+        let told = document.for_router();
+        Settings { classes, processes: told.processes * (1 + u32::from(beside)), ..told }
     }
 }
 
