--- a/src/logic.rs
+++ b/src/logic.rs
@@ -564,7 +564,7 @@
         }
         let Some(budget) = self.cold_budget(s) else { return true };
         let (window, work) = (self.settings.fall_window, self.mean_work(open.request.class));
-        // Danger: told late, or started anew, all routers would have missed their turns and send at one moment.
+        // Danger: told late, or started anew, all routers would have missed their turns and send at once.
         let since = server.told.max(server.member.started.saturating_add(window));
         server.sent.has_turn(self.now, window, budget, work, since, own)
     }
@@ -582,7 +582,7 @@
         let cold = server.member.started > 0 && age < start.ramp;
         let share = start.share + (1.0 - start.share) * age as f64 / start.ramp as f64;
         let whole = self.low_size(server) * share * start.multiple * window as f64;
-        // Danger: a process before this one may have spent a window's budget a moment ago; this one has no record.
+        // Danger: a process before this one may just have spent a window's budget; this one has no record.
         let lived = self.now.saturating_sub(self.started.unwrap_or(0)).clamp(1, window.max(1));
         let part = lived as f64 / window.max(1) as f64 / f64::from(self.settings.processes.max(1));
         cold.then(|| COLD_SHARE * whole * part / self.sharing(&server.member))
