A depot's restart is tested with a doorman that has lived a window

Seen: net::doorman::tests::a_restarted_depot_gets_no_old_connection failed (198 others of the library passed): its doorman had just started, and a process in its first window has only a part of what a cold depot bears. The test now lets 2 s pass first, and passes.

--- a/src/net/doorman/tests.rs
+++ b/src/net/doorman/tests.rs
@@ -509,6 +509,8 @@
     w.doorman.depots(false, vec![record.clone()]);
     w.doorman.settle();
     assert_eq!(w.doorman.pool.len(), 1, "the same news again changes nothing");
+    // Old enough to have its whole part of what a cold depot bears.
+    w.skip(2_000 * MS);
     let started = w.doorman.now + MS;
     w.relist(|e| e.started = started);
     w.ended(&mut old);
