--- a/tests/cold_processes.rs
+++ b/tests/cold_processes.rs
@@ -2,7 +2,7 @@
 //! Over the span that the settings name all of them together send it at most N requests of mean work, and 2 roots of
 //! N and 2 more, N being what the settings allow at the window's begin. The load is far over that.
 //!
-//! Both fail with COLD_SHARE at 3.0 in `logic.rs` instead of 0.5.
+//! The first fails with COLD_SHARE at 3.0 in `logic.rs` instead of 0.5; the second with MOST_DOORMANS at 1.
 #![cfg(unix)]
 
 use faultnet::Schedule;
