--- a/src/net/doorman.rs
+++ b/src/net/doorman.rs
@@ -63,8 +63,6 @@
 const STREAMS: usize = 32;
 /// Requests of one connection that may be taken back beyond those that are answered.
 const TAKEN_BACK: u32 = 64;
-/// No client waits longer than this many times what its class allows, and no part takes longer to send.
-const OUT_OF_RANGE: u64 = 4;
 /// Kept back of a client's patience, so that an answer at the last moment is out before it ends. Timers come up
 /// to 1 ms late. It is kept small: a client in a hurry, who waits 40 ms in all, is served in what is left.
 const MARGIN: Time = 4 * MS;
@@ -92,9 +90,6 @@
 const STOPPED_SHORT: Time = 300 * MS;
 /// Most connections to one depot.
 const MOST_EACH: usize = 16;
-/// Connections taken in one turn, and the pause after an accept that failed for want of descriptors.
-const ACCEPTS: usize = 64;
-const ACCEPT_PAUSE: Time = 20 * MS;
 /// Most depots that the list may hold.
 const MOST_DEPOTS: usize = 65_536;
 /// Changes of the list taken from a registry, and told to the module, in one turn.
@@ -165,7 +160,10 @@
     class: usize,
     /// Where its class is counted.
     counted: usize,
-    /// Connections on which an attempt was given up.
+    /// How long after an attempt that may have run it may be repeated, and the moment that follows from it.
+    window: Option<Time>,
+    repeat_by: Time,
+    /// Connections on which it had an attempt.
     spent: Vec<Token>,
 }
 
@@ -266,17 +264,17 @@
 impl Doorman {
     /// Listens, takes the list of depots from the configuration and is ready to run.
     pub fn start(config: Config, clock: Clock, log: Logger) -> io::Result<Self> {
-        Doorman::start_with(config, None, clock, log)
+        Doorman::start_with(EventLoop::new()?, config, None, clock, log)
     }
 
-    /// The same with the product's own settings and the file that they are from.
+    /// The same on a loop that hears of signals already, with the product's own settings and the file that they are from.
     pub fn start_with(
+        mut event_loop: EventLoop,
         config: Config,
         product: Option<(PathBuf, Product)>,
         clock: Clock,
         log: Logger,
     ) -> io::Result<Self> {
-        let mut event_loop = EventLoop::new()?;
         let who = Identity { name: config.name.clone(), listen: config.listen };
         let mut found =
             config.folder.as_deref().map(|f| handover::find(f, &who, &log)).transpose()?.flatten();
@@ -369,9 +367,7 @@
 
     /// Runs until told to end and everything taken is answered.
     pub fn run(mut self) -> io::Result<()> {
-        while !self.is_over() {
-            self.turn()?;
-        }
+        self.run_to_the_end()?;
         self.report();
         info!(self.log, "leaving"; "unanswered" => self.requests.values().filter(|o| !o.done).count());
         Ok(())
@@ -386,12 +382,14 @@
         let mut ready = std::mem::take(&mut self.ready);
         self.event_loop.wait(Duration::from_micros(wait), &mut ready)?;
         self.now = self.clock.now();
-        // Operators first: what they are told must not wait for what clients have brought.
-        if let Some(door) = &self.door {
-            ready.sort_by_key(|r| !door.owns(r.token));
-        }
+        // Operators first: what they are told must not wait for what clients have brought. Clients that go before the
+        // depots, whose answers would lead to further attempts; those that ask after them: nothing goes to a depot
+        // whose drain, or on a connection whose end, came in the same turn.
+        let (door, clients) = (self.door.as_ref(), &self.clients);
+        let asks = |r: &Ready| clients.get(&r.token).map_or(1, |_| if r.ended { 0 } else { 2 });
+        ready.sort_by_key(|r| (!door.is_some_and(|d| d.owns(r.token)), asks(r)));
         for token in std::mem::take(&mut self.again) {
-            self.ready(Ready { token, readable: false, writable: false });
+            self.ready(Ready { token, readable: false, writable: false, ended: false });
         }
         for event in ready.drain(..) {
             self.ready(event);
@@ -476,6 +474,7 @@
     /// Hands the events to the module and carries out what it wants, until neither is left.
     fn settle(&mut self) {
         while let Some(event) = self.events.pop_front() {
+            let event = self.as_it_is_now(event);
             #[cfg(test)]
             self.told.push(event.clone());
             let mut actions = std::mem::take(&mut self.actions);
