The watch of the list is judged by whole frames, and an event left out is asked for

Seen, by reading for two events that cross: a watch was dead once no byte had come for 2.5 s (Feed::is_dead, conn.heard), so half a frame that goes on trickling held it for good, and drains behind it were never heard. A dial that nobody answers had the same 2.5 s. An event whose number left others out was taken as if nothing was missing (Feed::takes). The pause before the next dial went back to 0.1 s with any frame, so an event that can't be read was asked for about four times a second. A dial with no descriptor free failed without a word (tend_feed), and bounds rested on limits.sockets alone (follow_limits) where the process may open fewer: accept then took each descriptor that came free. Log lines named no address and no remedy.

Ruled out: bytes of an older watch (tokens are never used again, EventLoop::add; Doorman::ready asks whose one is now; the half goes with its connection), a want behind a dial to a depot that drains or whose address another took (still_fits).

A gap drops the watch and dials at once from the cursor; the same gap again is accepted. A pause that doubles after bytes that can't be read. Bounds keep to what the process may open; where a dial finds no descriptor the client that has been idle for longest goes.

--- a/src/net/doorman/news.rs
+++ b/src/net/doorman/news.rs
@@ -1,39 +1,125 @@
 //! What the command channel tells: the list of depots, and purges.
 
 use super::*;
+use crate::net::feed::{Dead, Taken};
+use rustix::io::Errno;
+use rustix::process::{getrlimit, Resource};
+
+/// Whether a socket could not be had for want of descriptors.
+pub(super) fn is_out_of_descriptors(error: &io::Error) -> bool {
+    let code = error.raw_os_error();
+    [Errno::MFILE, Errno::NFILE].iter().any(|e| code == Some(e.raw_os_error()))
+}
+
+/// How many descriptors the system lets this process have.
+pub(super) fn may_open() -> usize {
+    getrlimit(Resource::Nofile).current.map_or(usize::MAX, |n| n as usize)
+}
+
+/// What an operator can do about a channel that is not reached or falls silent; the doorman itself dials again.
+const UNREACHED: &str =
+    "it is dialed again; if this goes on, see whether discovery runs and answers there, or \
+                         name another 'channel' in the configuration and send SIGHUP";
+/// The same where an event is missing.
+const SKIPPED: &str =
+    "it is asked for once more; if this comes often, compare what discovery sent with its numbers";
+/// The same where it was missing twice.
+const MISSING: &str =
+    "a drain or a purge may not have been heard: see what discovery has under the numbers between, \
+                       and restart this doorman if that is not known";
+/// The same where bytes can't be read.
+const SPOILT: &str =
+    "the list stays as it was and the channel is dialed again; see what discovery sends after this \
+                      event, and whether it speaks this version of the protocol";
+/// The same where there is no descriptor.
+const NO_DESCRIPTOR: &str =
+    "the oldest idle connection was let go; raise the process's limit of open files, or \
+                             lower 'limits.sockets' in the configuration to it";
 
 impl Doorman {
     pub(super) fn feed_ready(&mut self, event: Ready) {
         let mut inbound = Inbound::new(command_channel::decode);
         self.feed.ready(self.now, event.readable, event.writable, &mut inbound);
         for numbered in inbound.messages {
-            if self.feed.takes(self.now, &numbered) {
-                if let Some(command) = numbered.1 {
-                    self.command(command);
-                    self.settle();
+            let cursor = self.feed.cursor();
+            match self.feed.takes(self.now, &numbered) {
+                Taken::Known => continue,
+                Taken::New => {}
+                Taken::Without => {
+                    warn!(self.log, "command channel: events are missing for good"; "channel" => %self.feed.address(),
+                          "after" => cursor, "before" => numbered.0, "remedy" => MISSING,
+                          "times" => self.feed.figures().accepted);
                 }
+                Taken::Gap => {
+                    warn!(self.log, "command channel: events are missing"; "channel" => %self.feed.address(),
+                          "after" => cursor, "before" => numbered.0, "remedy" => SKIPPED,
+                          "times" => self.feed.figures().gaps);
+                    // What came behind it in this turn comes again as well.
+                    self.feed.ask_again(self.now);
+                    return self.tend_feed();
+                }
+            }
+            if let Some(command) = numbered.1 {
+                self.command(command);
+                self.settle();
             }
         }
-        if self.feed.is_dead(self.now) {
-            warn!(self.log, "command channel lost"; "error" => ?inbound.error);
-            self.feed.drop_link(self.now);
-        } else if self.feed.has_unread() {
+        if let Some(e) = inbound.error {
+            self.feed.drop_spoilt(self.now);
+            warn!(self.log, "command channel: bytes that can't be read"; "channel" => %self.feed.address(),
+                  "after" => self.feed.cursor(), "why" => %e, "remedy" => SPOILT,
+                  "times" => self.feed.figures().spoilt);
+        } else if !self.feed_died() && self.feed.has_unread() {
             self.again.push(event.token);
         }
     }
 
+    /// Lets the command channel's connection go where it is no use any more; whether it did.
+    fn feed_died(&mut self) -> bool {
+        let Some(why) = self.feed.is_dead(self.now) else { return false };
+        self.feed.drop_link(self.now, why);
+        let (what, figures) = match why {
+            Dead::Lost => ("command channel lost", self.feed.figures().lost),
+            Dead::Unanswered => ("command channel unreached", self.feed.figures().silent),
+            Dead::Silent => ("command channel silent", self.feed.figures().silent),
+        };
+        warn!(self.log, "{}", what; "channel" => %self.feed.address(), "after" => self.feed.cursor(),
+              "remedy" => UNREACHED, "times" => figures);
+        true
+    }
+
     pub(super) fn tend_feed(&mut self) {
-        if self.feed.is_dead(self.now) {
-            warn!(self.log, "command channel silent");
-            self.feed.drop_link(self.now);
-        }
+        self.feed_died();
         if !self.feed.wants_dial(self.now) {
             return;
         }
-        match self.event_loop.connect(self.feed.address()) {
+        let mut dial = self.event_loop.connect(self.feed.address());
+        if dial.as_ref().is_err_and(is_out_of_descriptors) && self.free_descriptor() {
+            // Guards the list against idle clients: who connects next would take the descriptor, so it is used here.
+            warn!(self.log, "command channel: no descriptor was free"; "remedy" => NO_DESCRIPTOR);
+            dial = self.event_loop.connect(self.feed.address());
+        }
+        match dial {
             Ok((token, stream)) => self.feed.dialed(token, Connection::dialing(stream, self.now)),
-            Err(_) => self.feed.drop_link(self.now),
+            Err(e) => {
+                warn!(self.log, "command channel can't be dialed"; "channel" => %self.feed.address(), "error" => %e,
+                      "remedy" => UNREACHED);
+                self.feed.pause_from(self.now);
+            }
+        }
+    }
+
+    /// Lets go of what is missed least, so that a descriptor is free: the client that has been idle for longest, or
+    /// else an idle connection to a depot. `false`: all are in use.
+    pub(super) fn free_descriptor(&mut self) -> bool {
+        let idle = self.clients.iter().filter(|c| c.1.is_idle());
+        if let Some(token) = idle.min_by_key(|c| (c.1.used, *c.0)).map(|c| *c.0) {
+            self.figures.idle_gone += 1;
+            self.drop_client(token);
+            return true;
         }
+        let link = self.pool.idle(self.now, 0).first().copied();
+        link.map(|token| self.lose_link(token)).is_some()
     }
 
     /// Takes up the configuration file as it is now, if it can be used; else all stays as it is.
@@ -97,7 +183,10 @@
 
     /// Bounds as the limits, and the settings on connections, have them.
     pub(super) fn follow_limits(&mut self) {
-        self.bounds = Bounds::of(&self.limits, self.door.is_some(), self.is_beside());
+        // Guards against running out of descriptors where the process may open fewer than its configuration says.
+        let mut held = self.limits;
+        held.sockets = held.sockets.min(may_open().saturating_mul(1 + usize::from(self.is_beside())));
+        self.bounds = Bounds::of(&held, self.door.is_some(), self.is_beside());
         self.limit_copies();
         let limits = &self.settings.limits;
         // Somewhat before the depots close it: a want must not cross their close.
--- a/src/net/doorman/tests.rs
+++ b/src/net/doorman/tests.rs
@@ -2,6 +2,7 @@
 //! rests on timing: the doorman is turned until what is awaited has come, and time is skipped, not waited for.
 
 mod copies;
+mod watch;
 
 use super::*;
 use bytes::{BufMut, BytesMut};
