--- a/src/net/doorman/tests.rs
+++ b/src/net/doorman/tests.rs
@@ -4,6 +4,7 @@
 mod copies;
 mod crossings;
 mod processes;
+mod watch;
 
 use super::*;
 use bytes::{BufMut, BytesMut};
