--- a/src/net/doorman/clients.rs
+++ b/src/net/doorman/clients.rs
@@ -126,9 +126,7 @@
     /// connection brings an event, and one timer for each of them would leave time for nothing else.
     pub(super) fn accept_failed(&mut self) {
         self.figures.accept_failures += 1;
-        if let Some(&token) = self.pool.idle(self.now, 0).first() {
-            self.lose_link(token);
-        }
+        self.free_descriptor();
         if !std::mem::replace(&mut self.accept_later, true) {
             self.timers.set(self.now + ACCEPT_PAUSE, Due::Accept);
         }
--- a/src/net/doorman/upstream.rs
+++ b/src/net/doorman/upstream.rs
@@ -200,7 +200,11 @@
 
     fn dial(&mut self, depot: &Id, address: SocketAddr) -> Option<Token> {
         self.figures.dials += 1;
-        match self.event_loop.connect(address) {
+        let mut dial = self.event_loop.connect(address);
+        if dial.as_ref().is_err_and(news::is_out_of_descriptors) && self.free_descriptor() {
+            dial = self.event_loop.connect(address);
+        }
+        match dial {
             Ok((token, stream)) => {
                 let conn = Connection::dialing(stream, self.now);
                 self.pool.add(token, Link::new(conn, depot.clone(), self.now));
