Where no sizes are told, parents begin without a limit and share the one late fills set

In a sample of every 50th, parents had room in 29 of 100 and the origin in none, at limits of 0.0077 to 0.0085 and no parent late; caches had room in 95 of 100. Ruled out: caches (143 refusals), ejection (all usable). At fault: `fair` and `members` in src/logic.rs: sizes nobody told became LEAST_SIZE over 291 routers, and of each of 15 parents one router sees too few answers for `room` to raise that.

Now, where neither weights nor links are told, a parent has no limit until fills are late; what one parent shows tells of all, and they are counted together. Caches, the origin and the cold rule stay as they were, and with weights or links told each server is judged by itself as before.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -133,6 +133,13 @@
     pub must_watch: bool,
 }
 
+impl Settings {
+    /// Whether anything is told that a server's size could be guessed from: weights or links.
+    pub fn tells_sizes(&self) -> bool {
+        self.weights_are_sizes || self.link_kb_s.iter().any(|&l| l > 0.0)
+    }
+}
+
 /// What the list of servers says of one.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Listed {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -213,11 +213,7 @@
             }
             Event::Request(request) => self.request(request, actions),
             Event::Outcome(outcome) => self.outcome(outcome, actions),
-            Event::Begun { request } => {
-                if let Some(open) = self.open.get_mut(&request) {
-                    open.begun = true;
-                }
-            }
+            Event::Begun { request } => self.open.get_mut(&request).into_iter().for_each(|o| o.begun = true),
             Event::ClientGone { request } => self.client_gone(request, actions),
             Event::Purged { object, group, age } => {
                 // Kept twice as long as copies linger: a fill from an old one may end after the last drop.
@@ -298,7 +294,9 @@
             let (fair, sharing) = (self.fair(s), self.sharing(&self.servers[s].member));
             // Others may be idle, but the more of them share a server, the less: chance goes by the root.
             let first = fair + fair * (BURST / sharing.sqrt()).min(1.0);
-            let limit = Some(self.servers[s].limit).filter(|&l| l > 0.0).unwrap_or(first);
+            // Danger: a parent's limit guessed from nothing refuses what comes in time: late fills set it.
+            let set = self.like(s).into_iter().map(|p| self.servers[p].limit).filter(|l| l.is_normal());
+            let limit = set.reduce(f64::min).unwrap_or(if self.untold(s) { f64::INFINITY } else { first });
             (self.servers[s].fair, self.servers[s].limit) = (fair, limit);
         }
     }
@@ -356,8 +354,7 @@
     /// items in mind at every router; one that is late, or has more work than the others, keeps fewer.
     fn keeper(&self, order: &[usize], item: u64, fits: impl Fn(usize) -> bool) -> Option<usize> {
         let share = |s: usize| (s, self.servers[s].share * self.bounded(s, order));
-        let fitting = order.iter().copied().filter(|&s| fits(s));
-        let shares: Vec<(usize, f64)> = fitting.map(share).collect();
+        let shares: Vec<(usize, f64)> = order.iter().copied().filter(|&s| fits(s)).map(share).collect();
         let best = shares.iter().map(|s| s.1).fold(f64::MIN_POSITIVE, f64::max);
         let parents = order.first().is_some_and(|&s| self.servers[s].member.role == Role::Parent);
         let most = best * if parents { HOME_BELOW } else { 1.0 };
@@ -450,11 +447,26 @@
         let server = &self.servers[s];
         let (out, limit) = (f64::from(server.out), server.limit);
         let most = if server.member.role == Role::Origin { 1.0 } else { limit + BURST * limit.sqrt() };
-        if limit >= 1.0 {
-            out < limit
-        } else {
-            self.usual(s) < limit && out < most
-        }
+        let most = if limit >= 1.0 { limit } else { most };
+        out < most && (limit >= 1.0 || self.used(s) < limit)
+    }
+
+    /// Whether it is a parent, and nothing is told that its size could be guessed from.
+    fn untold(&self, s: usize) -> bool {
+        self.servers[s].member.role == Role::Parent && !self.settings.tells_sizes()
+    }
+
+    /// Danger: one of many routers sees too little of each parent to learn its size. What an untold one shows
+    /// tells of the others: they have one limit, and are counted together.
+    fn like(&self, s: usize) -> Vec<usize> {
+        let all = Some(self.serving(Role::Parent)).filter(|p| self.untold(s) && p.contains(&s));
+        all.map_or(vec![s], <[usize]>::to_vec)
+    }
+
+    /// Requests under way on average of late at a server, or at each of those like it.
+    fn used(&self, s: usize) -> f64 {
+        let like = self.like(s);
+        like.iter().map(|&p| self.usual(p)).sum::<f64>() / like.len() as f64
     }
 
     /// Requests under way at a server, or through it, on average of late.
@@ -466,9 +478,8 @@
 
     fn count_out(&mut self, s: usize, more: bool) {
         self.servers[s].usual = self.usual(s);
-        let server = &mut self.servers[s];
-        server.counted = self.now;
-        server.out = if more { server.out + 1 } else { server.out.saturating_sub(1) };
+        let (now, server) = (self.now, &mut self.servers[s]);
+        (server.counted, server.out) = (now, server.out.saturating_add_signed(if more { 1 } else { -1 }));
     }
 
     /// This router's part of what a server can do: its size, over the routers that may send to it.
@@ -516,19 +527,22 @@
 
     /// More requests under way at a server, or through it, while answers are in time, fewer when late.
     fn room(&mut self, s: usize, in_time: bool, faster: f64) {
-        let next = f64::from(self.servers[s].out + u32::from(self.servers[s].limit >= 1.0));
-        let used = self.usual(s).max(next);
-        let (now, origin, server) = (self.now, self.origin() == Some(s), &mut self.servers[s]);
-        if in_time {
-            server.share = (server.share + SHARE_STEP).min(1.0);
-            let whole = origin && server.fair < FEW * FEW_PART && server.limit >= server.fair / FEW_PART;
-            if used >= server.limit / 2.0 && !whole {
-                server.limit += (1.0 / server.limit).min(server.limit * MOST_RISE * faster);
+        let (now, out, usual) = (self.now, f64::from(self.servers[s].out), self.used(s));
+        let used = usual.max(out + f64::from(u8::from(self.servers[s].limit >= 1.0)));
+        let most = if self.untold(s) { usual.max(out) } else { out + 1.0 };
+        let few = self.origin() == Some(s) && self.servers[s].fair < FEW * FEW_PART;
+        for s in self.like(s) {
+            let server = &mut self.servers[s];
+            if in_time {
+                server.share = (server.share + SHARE_STEP).min(1.0);
+                if used >= server.limit / 2.0 && !(few && server.limit >= server.fair / FEW_PART) {
+                    server.limit += (1.0 / server.limit).min(server.limit * MOST_RISE * faster);
+                }
+            } else if server.late > LATE_BORNE && now >= server.cut.saturating_add(LIMIT_PAUSE) {
+                server.share = (server.share * LIMIT_CUT).max(LEAST_SHARE);
+                server.limit = (server.limit.min(most) * LIMIT_CUT).max(server.fair);
+                server.cut = now;
             }
-        } else if server.late > LATE_BORNE && now >= server.cut.saturating_add(LIMIT_PAUSE) {
-            server.share = (server.share * LIMIT_CUT).max(LEAST_SHARE);
-            server.limit = (server.limit.min(f64::from(server.out) + 1.0) * LIMIT_CUT).max(server.fair);
-            server.cut = now;
         }
     }
 
@@ -560,10 +574,8 @@
     fn cold_room(&self, s: usize, open: &Open) -> bool {
         let server = &self.servers[s];
         let own = xxh3_64_with_seed(&server.key.to_le_bytes(), self.seed) as f64 / u64::MAX as f64;
-        if !self.guide.admits(self.now, &server.member.id, open.work, own) {
-            return false;
-        }
-        let Some(budget) = self.cold_budget(s) else { return true };
+        let admitted = self.guide.admits(self.now, &server.member.id, open.work, own);
+        let Some(budget) = self.cold_budget(s).filter(|_| admitted) else { return admitted };
         let (window, work) = (self.settings.fall_window, self.mean_work(open.request.class));
         let turn = (own * (work / budget * window as f64)) as Time;
         let first = server.member.started.saturating_add(window + turn);
@@ -628,8 +640,7 @@
     fn send_or_end(&mut self, mut open: Open, actions: &mut Vec<Action>) {
         let Some((server, source, fetch)) = self.route(&open) else { return self.give_up(open, actions) };
         let id = open.request.id.clone();
-        let role = self.servers[server].member.role;
-        let work = self.mean_work(open.request.class);
+        let (role, work) = (self.servers[server].member.role, self.mean_work(open.request.class));
         let (number, sent, patience) = (open.attempts, self.now, self.patience(&open));
         let held_only = fetch.as_ref().is_some_and(|f| f.held_only);
         let asks_on = open.lacked || !held_only && self.purged_at(&open.request).is_some();
@@ -684,8 +695,7 @@
         };
         // Danger: a slow origin behind the parents holds up even what they have. Then they are asked for
         // what they hold, and only as much of the rest goes on to the origin as it answers in time. So it is
-        // with what was purged: when all copies go void, each fill asks the origin, and in the line before it
-        // all of them come too late.
+        // with what was purged: when all copies go void, each fill asks the origin, all too late.
         let crowded = self.origin().filter(|&o| {
             let behind = source.is_some_and(|s| self.servers[s].member.role == Role::Parent);
             let void = || self.purged_at(&open.request).is_some() && !self.has_room(o);
@@ -737,8 +747,7 @@
     fn client_gone(&mut self, request: Id, actions: &mut Vec<Action>) {
         let Some(open) = self.open.get_mut(&request) else { return };
         open.over = true;
-        let class = self.settings.classes.get(open.request.class);
-        let safe = class.is_some_and(|c| c.effect == Effect::Safe);
+        let safe = self.settings.classes.get(open.request.class).is_some_and(|c| c.effect == Effect::Safe);
         if let (Some(attempt), true, false) = (open.out, safe && self.settings.may_cancel, open.begun) {
             actions.push(Action::Cancel { request, attempt: attempt.number });
         }
@@ -784,10 +793,9 @@
             }
         }
         let untold = outcome.note == Note::Untold && self.settings.detail != Detail::All;
+        let told = matches!(outcome.note, Note::SourceRefused | Note::SourceFailed | Note::OriginFailed);
         let source_fault = match (outcome.code, attempt.source) {
-            _ if matches!(outcome.note, Note::SourceRefused | Note::SourceFailed | Note::OriginFailed) => {
-                true
-            }
+            _ if told => true,
             (Code::Miss, _) => true,
             (Code::Full, Some(s)) if self.is_later(s, attempt.server) => untold,
             (_, Some(s)) => untold && self.servers[s].rate > self.servers[attempt.server].rate,
@@ -812,8 +820,8 @@
             return self.give_up(open, actions);
         }
         let in_time = self.now as f64 + self.mean_work(open.request.class) < open.deadline as f64;
-        let most = self.settings.max_attempts.min(open.most);
-        let more = open.attempts < most && outcome.code != Code::NeverSent;
+        let more =
+            open.attempts < self.settings.max_attempts.min(open.most) && outcome.code != Code::NeverSent;
         // Danger: when much fails at once, retries would multiply the load on what is left.
         if !in_time || !more || (self.retry_tokens < 1.0 && !free) {
             return self.give_up(open, actions);
@@ -875,11 +883,8 @@
         let silent = self.settings.detail == Detail::Silent;
         // Danger: writes show best how long the line at the origin is; one router of many sees few of them.
         let direct = self.servers[cache].member.role == Role::Origin;
-        for (s, counts) in [(Some(cache), hit || silent || direct), (source, filled || silent)] {
-            if let (Some(s), true) = (s, counts) {
-                self.note_late(s, late);
-            }
-        }
+        let timed = [(Some(cache), hit || silent || direct), (source, filled || silent)];
+        timed.iter().filter(|t| t.1).filter_map(|t| t.0).for_each(|s| self.note_late(s, late));
         self.adjust(cache, source, late);
     }
 
@@ -891,8 +896,9 @@
     fn note_late(&mut self, s: usize, late: bool) {
         let origin = self.servers[s].member.role == Role::Origin;
         let step = if origin { (STEP * self.rarity(s)).min(SURE_STEP) } else { STEP };
-        let rate = &mut self.servers[s].late;
-        *rate += step * (f64::from(u8::from(late)) - *rate);
+        for s in self.like(s) {
+            self.servers[s].late += step * (f64::from(u8::from(late)) - self.servers[s].late);
+        }
     }
 
     fn adjust(&mut self, cache: usize, source: Option<usize>, late: bool) {
@@ -964,8 +970,7 @@
                 self.origin_timing(attempt, Note::FilledByOrigin, true);
             }
             // Danger: servers that do the work and lose answers look late, and limits that follow empty a
-            // location that has all its strength. An answer that never came tells of crowding only where
-            // those that come are late too.
+            // location that has all its strength. A lost one tells of crowding where others are late.
             _ if outcome.code == Code::TimedOut => self.adjust(attempt.server, source, true),
             _ if self.settings.detail == Detail::All => self.verdict(attempt.server, STEP, true),
             _ => self.blame(attempt, STEP),
@@ -989,17 +994,15 @@
     /// The source's part of the blame.
     fn its_part(&self, attempt: Attempt, source: usize) -> f64 {
         let (cache, from) = (&self.servers[attempt.server], &self.servers[source]);
-        let mine = cache.rate + BLAME_FLOOR;
         let its = (from.rate + BLAME_FLOOR) * (1.0 - cache.hit_share);
-        its / (mine + its)
+        its / (cache.rate + BLAME_FLOOR + its)
     }
 
     fn verdict(&mut self, s: usize, step: f64, bad: bool) {
         let peers = self.serving(self.servers[s].member.role).iter().filter(|&&p| p != s);
         let (sum, count) = peers.fold((0.0, 0.0), |(r, n), &p| (r + self.servers[p].rate, n + 1.0));
         let peer_rate = sum / f64::max(count, 1.0);
-        let now = self.now;
-        let server = &mut self.servers[s];
+        let (now, server) = (self.now, &mut self.servers[s]);
         let step = if server.ejected && !bad { TRIAL_STEP.max(step) } else { step };
         server.rate += step * (f64::from(u8::from(bad)) - server.rate);
         let outlier = server.rate > EJECT_ABOVE && server.rate > WORSE_THAN_PEERS * peer_rate;
@@ -1010,8 +1013,7 @@
             }
             server.ejected = true;
         } else if !bad && server.ejected && server.rate < READMIT_BELOW {
-            server.ejected = false;
-            server.ejections = 0;
+            (server.ejected, server.ejections) = (false, 0);
         }
     }
 }
--- a/tests/many_routers.rs
+++ b/tests/many_routers.rs
@@ -462,3 +462,33 @@
     let (whole, mean) = (3.0 * 30.0 / f64::from(many), busy as f64 / (asked * step) as f64);
     assert!(mean > whole / 4.0 && mean < whole * 1.3, "{mean} of {whole} under way on average");
 }
+
+/// Guards a fleet of which no sizes are told: limits guessed from nothing, shared by hundreds of routers, refused
+/// most fills on a calm day, when all came in time; and what is late must still bring the limits down.
+#[test]
+fn parents_whose_size_is_untold_are_used_while_in_time_and_less_when_late() {
+    for (lasts, least, most) in [(200 * MS, 390, 400), (2 * S, 5, 100)] {
+        let set = Settings { routers: 300, weights_are_sizes: false, link_kb_s: Vec::new(), ..settings() };
+        let mut router = router_with(set, fleet());
+        let (mut under_way, mut fills) = (std::collections::VecDeque::new(), 0);
+        for n in 0..800 {
+            let (now, id) = (T0 + n * 100 * MS, format!("r{n}"));
+            while under_way.front().is_some_and(|o: &(Time, String, u32)| o.0 <= now) {
+                let Some((at, id, attempt)) = under_way.pop_front() else { break };
+                let done = Outcome { note: Note::Filled, took: lasts, ..end(&id, attempt, Code::Served) };
+                tell(&mut router, at, Event::Outcome(done));
+            }
+            let (mut actions, mut attempt) = (ask(&mut router, now, &id, VIDEO, n), 0);
+            while sends(&actions) && !sent(&actions).1.starts_with("parent") {
+                actions = finish(&mut router, now, &id, attempt, Code::Miss);
+                attempt += 1;
+            }
+            assert!(sends(&actions) || refused(&actions), "no end: {actions:?}");
+            if sends(&actions) {
+                fills += usize::from(n >= 400);
+                under_way.push_back((now + lasts, id, attempt));
+            }
+        }
+        assert!((least..=most).contains(&fills), "{fills} of 400 filled by parents, each in {lasts} us");
+    }
+}
