Purge log: purges from a registry with bounded staleness, off unless purge_log() is set

Change: - src/purges/log.rs (core): a ring of 1,024 numbered entries with a head below a prefix; append() makes the one transaction that writes both; PurgeLog puts entries in force, sees gaps, spoilt and rewritten entries (each counts as a purge of everything while copies may linger), and knows by itself that it is cut off: once the documents were not confirmed for the bound on staleness (1 s), no copy older than the bound is accepted. No acknowledgement is needed: from the bound on each doorman has a purge or is strict. - net/doorman/purge_log.rs: the documents' driver without a campaign joined to it.

Found by the property on the way: PurgeLog::next stood still in the past while cut off with a floor, a busy loop of the doorman; next() goes by the last look now, and the property asks for it.

Tests: tests/purge_log.rs, six real processes and a stand-in registry of three members behind faultnet ways, judged by which copies servers gave out (Arrival.minted is new in the stand-ins' records): a branch cut off, members cut in mid-entry, down, stalled, lagging, doubling, slow ways, four restarted at once while all members are silent, three that do not follow beside three that do (these give out void copies, so the check can fail).

--- a/crates/standins/src/world/checker.rs
+++ b/crates/standins/src/world/checker.rs
@@ -52,6 +52,50 @@
     peaks
 }
 
+/// One object of a purge.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Purged {
+    /// When it was committed.
+    pub at: u64,
+    /// The object.
+    pub object: u64,
+    /// Unix millisecond: copies made before it are void.
+    pub when_ms: u64,
+}
+
+/// Copies of purged objects that were given out between `within` and `lingers` after the commit, with the purge. What a
+/// server gives to another for a fill counts as well.
+fn bound<'a>(
+    arrivals: &'a [Arrival],
+    purges: &'a [Purged],
+    within: u64,
+    lingers: u64,
+) -> impl Iterator<Item = (&'a Arrival, &'a Purged, u64)> {
+    let mut of = BTreeMap::<u64, Vec<&Purged>>::new();
+    purges.iter().for_each(|p| of.entry(p.object).or_default().push(p));
+    arrivals.iter().flat_map(move |a| {
+        let purges = of.get(&a.object).cloned().unwrap_or_default();
+        let binds = move |p: &&Purged| a.at >= p.at + within && a.at < p.at + lingers;
+        purges.into_iter().filter(binds).filter_map(move |p| Some((a, p, a.minted?)))
+    })
+}
+
+/// Those of them that were made before the purge.
+pub fn stale<'a>(
+    arrivals: &'a [Arrival],
+    purges: &'a [Purged],
+    within: u64,
+    lingers: u64,
+) -> Vec<(&'a Arrival, &'a Purged)> {
+    let all = bound(arrivals, purges, within, lingers);
+    all.filter(|(_, p, minted)| *minted < p.when_ms).map(|(a, p, _)| (a, p)).collect()
+}
+
+/// How many they are in all: of none nothing can be told.
+pub fn given(arrivals: &[Arrival], purges: &[Purged], within: u64, lingers: u64) -> usize {
+    bound(arrivals, purges, within, lingers).count()
+}
+
 /// Requests sent, served and refused, by class and span of so many microseconds.
 pub fn counts(requests: &[Request], span: u64) -> BTreeMap<(String, u64), [usize; 3]> {
     let mut counts = BTreeMap::new();
@@ -120,7 +164,7 @@
         let (class, object) = ("record-edits".to_owned(), at);
         let id = id.to_owned();
         let (from, via, held_only, end) = (None, None, false, End::Hit);
-        Arrival { at, server, from, id, class, object, work: 100.0, via, held_only, end }
+        Arrival { at, server, from, id, class, object, work: 100.0, via, held_only, end, minted: None }
     }
 
     fn specs() -> Vec<Spec> {
@@ -185,6 +229,23 @@
         );
     }
 
+    #[test]
+    fn a_copy_from_before_a_purge_is_stale_from_the_promised_time_until_it_may_linger_no_more() {
+        let given = |at, minted| Arrival { object: 7, minted, ..arrival(at, 1, "a") };
+        let purges = [Purged { at: 100, object: 7, when_ms: 50 }, Purged { at: 100, object: 8, when_ms: 90 }];
+        let all = [
+            given(109, Some(49)),
+            given(110, Some(49)),
+            given(111, Some(50)),
+            given(112, None),
+            given(199, Some(49)),
+            given(200, Some(49)),
+            Arrival { object: 9, ..given(120, Some(1)) },
+        ];
+        let times: Vec<u64> = stale(&all, &purges, 10, 100).iter().map(|s| s.0.at).collect();
+        assert_eq!((times, super::given(&all, &purges, 10, 100)), (vec![110, 199], 3));
+    }
+
     #[test]
     fn a_shard_has_the_homes_its_requests_went_to_and_warming_is_none() {
         let warming = Arrival { via: Some(1), held_only: true, ..arrival(30, 2, "c") };
--- a/crates/standins/src/world/engine.rs
+++ b/crates/standins/src/world/engine.rs
@@ -408,6 +408,7 @@
             via: want.via.filter(|_| from.is_none()),
             held_only,
             end,
+            minted: held.filter(|_| end == End::Hit),
         };
         let noted = match (full, held, source) {
             (true, ..) => End::Refused,
--- a/crates/standins/src/world/records.rs
+++ b/crates/standins/src/world/records.rs
@@ -40,6 +40,8 @@
     pub held_only: bool,
     /// How it was met.
     pub end: End,
+    /// Where it was met from what is kept: the Unix millisecond at which that copy was made.
+    pub minted: Option<u64>,
 }
 
 impl Arrival {
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,5 +1,6 @@
 //! The command line. Without any argument the doorman runs as the platform starts it.
 
+mod purge;
 mod registry;
 mod run;
 
@@ -29,6 +30,8 @@
     },
     /// Look at and change the list of depots in a registry.
     Registry(registry::Options),
+    /// Purge objects at every doorman that follows the purge log.
+    Purge(purge::Options),
 }
 
 #[derive(Args, Debug, Default)]
@@ -72,6 +75,7 @@
             Err(e) => fail(&e.to_string()),
         },
         Some(Command::Registry(options)) => registry::run(options),
+        Some(Command::Purge(options)) => purge::run(options),
     }
 }
 
--- a/src/cli/registry.rs
+++ b/src/cli/registry.rs
@@ -97,7 +97,7 @@
 
 /// Why a command did not do its work.
 #[derive(Debug)]
-enum Failure {
+pub(super) enum Failure {
     Status(Status),
     Io(std::io::Error),
     Told(String),
@@ -120,7 +120,7 @@
 }
 
 /// A connection on which one call at a time is made, and waited for.
-struct Client {
+pub(super) struct Client {
     event_loop: EventLoop,
     channel: Channel<TcpStream>,
     ready: Vec<Ready>,
@@ -128,7 +128,7 @@
 }
 
 impl Client {
-    fn connect(endpoints: &[SocketAddr], most_message: usize) -> Result<Self, Failure> {
+    pub(super) fn connect(endpoints: &[SocketAddr], most_message: usize) -> Result<Self, Failure> {
         let mut last = Failure::Told("no endpoint is named".to_owned());
         for &address in endpoints {
             match Client::dial(address, most_message) {
@@ -204,7 +204,7 @@
         Err(Failure::Told(format!("the registry gave no answer within {PATIENCE:?}")))
     }
 
-    fn get(&mut self, key: &[u8]) -> Result<Option<KeyValue>, Failure> {
+    pub(super) fn get(&mut self, key: &[u8]) -> Result<Option<KeyValue>, Failure> {
         let request = RangeRequest { key: key.to_vec(), ..RangeRequest::default() };
         let answer: RangeResponse = self.ask(path::RANGE, &request)?;
         Ok(answer.kvs.into_iter().next())
@@ -212,6 +212,19 @@
 
     /// Makes a change if the key is still as it was; says at which revision.
     fn change(&mut self, key: &[u8], was: i64, to: request_op::Request) -> Result<i64, Failure> {
+        self.commit(key, was, vec![to])?.ok_or_else(|| {
+            Failure::Told("the record was changed meanwhile; nothing was done, look and try again".into())
+        })
+    }
+
+    /// Makes changes as one, if the key is still as it was; says at which revision. `None`: it is not, and nothing was
+    /// done.
+    pub(super) fn commit(
+        &mut self,
+        key: &[u8],
+        was: i64,
+        to: Vec<request_op::Request>,
+    ) -> Result<Option<i64>, Failure> {
         let compare = Compare {
             result: 0,
             target: 2,
@@ -219,15 +232,10 @@
             mod_revision: Some(was),
             ..Compare::default()
         };
-        let success = vec![RequestOp { request: Some(to) }];
+        let success = to.into_iter().map(|to| RequestOp { request: Some(to) }).collect();
         let request = TxnRequest { compare: vec![compare], success, failure: Vec::new() };
         let answer: TxnResponse = self.ask(path::TXN, &request)?;
-        if !answer.succeeded {
-            return Err(Failure::Told(
-                "the record was changed meanwhile; nothing was done, look and try again".into(),
-            ));
-        }
-        Ok(answer.header.map_or(0, |h| h.revision))
+        Ok(answer.succeeded.then(|| answer.header.map_or(0, |h| h.revision)))
     }
 }
 
--- a/src/copies/mod.rs
+++ b/src/copies/mod.rs
@@ -196,6 +196,11 @@
         keys.iter().for_each(|k| self.remove(k));
     }
 
+    /// All copies are void.
+    pub fn void_all(&mut self) {
+        self.shrink(0);
+    }
+
     fn demand(&self, now: Time, key: &Key) -> f64 {
         let fade = |at: Time| (-(now.saturating_sub(at) as f64) / DEMAND_SPAN).exp();
         self.demand.peek(key).map_or(0.0, |&(count, at)| count * fade(at))
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -315,6 +315,9 @@
         /// Time since the purge.
         age: Time,
     },
+    /// Purges may have been made that nobody told: until told otherwise, no copy older than this is accepted.
+    /// `None`: all purges are known.
+    BoundedStaleness(Option<Time>),
     /// A timer is due.
     Timer {
         /// As chosen by the router.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -219,6 +219,7 @@
                 let until = self.now.saturating_add(self.settings.purge_done.saturating_mul(2));
                 self.purged.told(object, group, self.now.saturating_sub(age), until);
             }
+            Event::BoundedStaleness(age) => self.purged.bound(age),
             Event::Timer { token } => self.overdue(token),
         }
     }
--- a/src/net/doorman.rs
+++ b/src/net/doorman.rs
@@ -11,6 +11,7 @@
 mod management;
 mod news;
 mod peers;
+mod purge_log;
 mod shards;
 #[cfg(test)]
 mod tests;
@@ -431,7 +432,8 @@
                 registry.ready(event);
             }
             self.tend_registry();
-        } else if !self.peers_ready(event.token) && !self.shards_ready(event) {
+        } else if !(self.peers_ready(event.token) || self.shards_ready(event) || self.purge_log_ready(event))
+        {
             self.link_ready(event);
         }
         self.settle();
--- a/src/net/doorman/copies.rs
+++ b/src/net/doorman/copies.rs
@@ -20,7 +20,8 @@
     }
 
     /// The answer to a request from a copy of the doorman's own, if there is one that will do and comes in time.
-    /// Guards the rule on purges: while the command channel is silent, purges may have been made that nobody told.
+    /// Guards the rule on purges: while the command channel is silent or the purge log can't vouch for what it tells,
+    /// purges may have been made that nobody told.
     pub(super) fn own_copy(&mut self, id: &Id) -> Option<Reply> {
         if !self.copies.any() {
             return None;
@@ -28,7 +29,7 @@
         let open = self.requests.get(id)?;
         let (key, fresh, aim) = self.copied(open)?;
         self.copies.asked(self.now, key);
-        if !self.feed.is_current(self.now) {
+        if !self.feed.is_current(self.now) || self.purge_log().is_some_and(|l| !l.vouches()) {
             return None;
         }
         let wish = Wish { key, fresh, aim, got: self.requests.get(id)?.ask.got.as_deref() };
@@ -55,6 +56,9 @@
             return;
         }
         let (minted, group) = (self.clock.of_unix_ms(minted_ms), open.ask.batch);
+        if self.purge_log().and_then(|l| l.floor()).is_some_and(|floor| minted <= floor) {
+            return;
+        }
         let copy = Copy { tag: tag.to_owned(), minted, group, body: answer.body.clone() };
         self.copies.keep(self.now, key, copy);
     }
--- a/src/net/doorman/fleet.rs
+++ b/src/net/doorman/fleet.rs
@@ -1,6 +1,7 @@
 //! What the doormans do as one, joined to the loop: the judgement of sites, their plans, and shards. Evidence, notes
 //! and the list go in; guidance to the module, this doorman's own note and log lines come out. Nothing is decided here.
 
+use super::purge_log::PurgeLog;
 use super::shards::Shards;
 use super::*;
 use crate::growth::ahead::WEEKS;
@@ -54,6 +55,7 @@
     members: FxHashMap<Id, Member>,
     sites: Option<Sites>,
     pub(super) shards: Option<Box<Shards>>,
+    pub(super) purge_log: Option<Box<PurgeLog>>,
     guidance: Arc<Guidance>,
     due: Option<Time>,
     /// The note that was said last, without its clock, and when.
@@ -83,7 +85,7 @@
     }
 
     /// For the door: names and values.
-    pub(super) fn figures(&self) -> Vec<(&'static str, u64)> {
+    pub(super) fn figures(&self, now: Time) -> Vec<(&'static str, u64)> {
         let mut figures = Vec::new();
         if let Some(sites) = &self.sites {
             let [_, doubtful, lost, returning] = self.judged;
@@ -99,6 +101,9 @@
         if let Some(shards) = &self.shards {
             figures.extend(shards.figures());
         }
+        if let Some(log) = &self.purge_log {
+            figures.extend(log.figures(now));
+        }
         figures
     }
 }
@@ -166,7 +171,8 @@
             differ: 0,
         });
         let shards = product.shards.is_some().then(|| Box::new(Shards::new(self, product, seed)));
-        if sites.is_none() && shards.is_none() {
+        let purge_log = product.purge_log.as_ref().map(|s| Box::new(PurgeLog::new(self, s, seed)));
+        if sites.is_none() && shards.is_none() && purge_log.is_none() {
             return Ok(());
         }
         let mut fleet = Fleet {
@@ -174,6 +180,7 @@
             members: FxHashMap::default(),
             sites,
             shards,
+            purge_log,
             guidance: Arc::default(),
             due: None,
             said: None,
@@ -185,6 +192,8 @@
             info!(self.log, "plans for the loss of a site are on"; "zones" => zones, "steps" => sites.settings.steps);
         }
         self.fleet = Some(Box::new(fleet));
+        // Until the log has been read nothing is vouched for, from the first request on.
+        self.purge_log_turn();
         Ok(())
     }
 
@@ -195,6 +204,10 @@
         if (sites, shards) != (product.site_plan.is_some(), product.shards.is_some()) {
             warn!(self.log, "takes a restart to change"; "what" => "whether site_plan() and shards() are set");
         }
+        let log = self.purge_log().map(|l| product.purge_log.as_ref().is_some_and(|new| l.has(new)));
+        if !log.unwrap_or(product.purge_log.is_none()) {
+            warn!(self.log, "takes a restart to change"; "what" => "purge_log()");
+        }
         if let Err(e) = product.calendar.check(&self.settings.failure_domains) {
             return warn!(self.log, "hours of the shards stay as they are"; "why" => %e);
         }
@@ -271,7 +284,11 @@
     }
 
     pub(super) fn fleet_turn(&mut self, at: Time) {
-        let Some(mut fleet) = self.fleet.take_if(|f| f.due == Some(at)) else { return };
+        if self.fleet.as_ref().is_none_or(|f| f.due != Some(at)) {
+            return;
+        }
+        self.purge_log_turn();
+        let Some(mut fleet) = self.fleet.take() else { return };
         fleet.due = None;
         let heard = self.heard_notes();
         let changed = self.judge_sites(&mut fleet, &heard);
@@ -291,6 +308,7 @@
         let soon = fleet.sites.as_ref().is_some_and(|s| s.maker.is_some());
         let next = fleet.sites.as_ref().map_or(Time::MAX, |s| s.judge.next());
         let next = next.min(fleet.shards.as_ref().map_or(Time::MAX, |s| s.next()));
+        let next = next.min(fleet.purge_log.as_ref().map_or(Time::MAX, |l| l.next()));
         self.fleet = Some(fleet);
         self.fleet_due(if soon { self.now } else { next.max(self.now + MS) });
     }
--- a/src/net/doorman/management.rs
+++ b/src/net/doorman/management.rs
@@ -184,7 +184,7 @@
             targets: listed.ready + listed.draining + listed.shadowed,
             avoided: self.router.avoided(),
             peers: self.peers.as_ref().map(|p| p.figures()),
-            fleet: self.fleet.as_ref().map_or(Vec::new(), |f| f.figures()),
+            fleet: self.fleet.as_ref().map_or(Vec::new(), |f| f.figures(self.now)),
         }
     }
 }
--- a/src/net/doorman/tests.rs
+++ b/src/net/doorman/tests.rs
@@ -4,6 +4,7 @@
 mod copies;
 mod crossings;
 mod processes;
+mod purge_log;
 mod watch;
 
 use super::*;
--- a/src/net/doorman/tests/copies.rs
+++ b/src/net/doorman/tests/copies.rs
@@ -3,7 +3,7 @@
 use super::*;
 
 /// A doorman that may serve copies of its own, with the command channel's other end.
-fn with_copies() -> (World, Peer) {
+pub(super) fn with_copies() -> (World, Peer) {
     let mut w = World::with(|c| {
         (c["flow_bytes_per_s"], c["link_bytes_per_s"]) = (310_000.into(), 1_240_000.into());
     });
@@ -14,7 +14,7 @@
 }
 
 /// An empty frame of the command channel, or a purge of the object that all here ask for.
-fn tells(w: &mut World, channel: &mut Peer, purge: Option<u64>) {
+pub(super) fn tells(w: &mut World, channel: &mut Peer, purge: Option<u64>) {
     let mut event = (if purge.is_some() { 25u32 } else { 9 }).to_be_bytes().to_vec();
     event.extend((w.doorman.feed.cursor() + u64::from(purge.is_some())).to_be_bytes());
     event.push(if purge.is_some() { 3 } else { 0 });
@@ -27,12 +27,18 @@
     w.silent(channel);
 }
 
-fn unix_ms() -> u64 {
+pub(super) fn unix_ms() -> u64 {
     std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap().as_millis() as u64
 }
 
 /// Asks for the one object; the cache answers if it is asked, with a copy minted at `minted`. Whether it was.
-fn asks(w: &mut World, client: &mut Peer, cache: &mut Option<Peer>, number: u32, minted: u64) -> bool {
+pub(super) fn asks(
+    w: &mut World,
+    client: &mut Peer,
+    cache: &mut Option<Peer>,
+    number: u32,
+    minted: u64,
+) -> bool {
     client.put(&request(number, number, "clip"));
     let served = w.doorman.figures.own_copies;
     w.until("a decision", |d| (d.figures.own_copies > served || !d.requests.is_empty()).then_some(()));
--- /dev/null
+++ b/src/net/doorman/tests/purge_log.rs
@@ -0,0 +1,48 @@
+//! A purge log that can't vouch for anything, on sockets: what was decided before that does not count any more.
+
+use super::copies::{asks, tells, unix_ms, with_copies};
+use super::*;
+use crate::purges::log::Settings;
+
+/// Switches a log on whose registry nobody reaches.
+fn cut_off(doorman: &mut Doorman) {
+    let endpoints = vec!["127.0.0.1:9".parse().unwrap()];
+    let purge_log = Some(Settings::new(endpoints, "/purges/"));
+    doorman.meet_fleet(&Product { purge_log, ..Product::default() }, 1).unwrap();
+}
+
+#[test]
+fn what_waits_behind_a_dial_is_not_written_once_nothing_can_be_vouched_for() {
+    let mut w = World::new();
+    let mut client = w.client();
+    client.put(&request(1, 1, "clip"));
+    w.until("the dial", |d| (d.pool.len() == 1).then_some(()));
+    cut_off(&mut w.doorman);
+    assert_eq!(w.frame(&mut client).2[0], 50);
+    assert_eq!(w.codes(), [(Code::NeverSent, false)]);
+    let mut cache = w.cache();
+    w.silent(&mut cache);
+    assert_eq!(w.doorman.figures.dropped, 1);
+}
+
+#[test]
+fn what_is_asked_while_nothing_can_be_vouched_for_names_the_bound_as_the_oldest_age() {
+    let mut w = World::new();
+    cut_off(&mut w.doorman);
+    let mut client = w.client();
+    client.put(&request(1, 1, "clip"));
+    let mut cache = w.cache();
+    let want = w.command(&mut cache);
+    assert!(want[2].contains("fresh=1000"), "{want:?}");
+}
+
+#[test]
+fn copies_of_the_doormans_own_are_neither_served_nor_kept_while_nothing_can_be_vouched_for() {
+    let (mut w, mut channel) = with_copies();
+    let (mut client, mut cache, now) = (w.client(), None, unix_ms());
+    tells(&mut w, &mut channel, None);
+    let asked: Vec<bool> = (1..=3).map(|n| asks(&mut w, &mut client, &mut cache, n, now)).collect();
+    assert_eq!(asked, [true, true, false], "kept at the second time");
+    cut_off(&mut w.doorman);
+    assert!(asks(&mut w, &mut client, &mut cache, 4, now), "a purge of it may not have been heard");
+}
--- a/src/net/doorman/upstream.rs
+++ b/src/net/doorman/upstream.rs
@@ -64,7 +64,8 @@
         let serves = |id: &str| self.membership.takes_work(id);
         let source = attempt.fetch.as_ref().is_none_or(|f| serves(&f.source));
         let purged =
-            self.purges.iter().any(|&(told, what, _)| told >= attempt.sent && voids(what, &open.ask));
+            self.purges.iter().any(|&(told, what, _)| told >= attempt.sent && voids(what, &open.ask))
+                || self.purge_log().and_then(|l| l.tightened()).is_some_and(|told| told >= attempt.sent);
         serves(&attempt.depot) && source && !purged && self.now < open.repeat_by
     }
 
--- a/src/product/fleet.rs
+++ b/src/product/fleet.rs
@@ -1,9 +1,10 @@
-//! The calls of a script that are about the fleet as a whole: `site_plan`, `shards`, `quiet`, `blackout`, `growth`.
+//! The calls of a script that are about the fleet as a whole: `site_plan`, `shards`, `quiet`, `blackout`,
+//! `growth`, `purge_log`.
 
 use super::arguments::{Arguments, Bad};
 use super::{endpoint, prefix, Product, MS};
 use crate::placement::quiet::{Calendar, Window};
-use crate::{growth, placement, sites};
+use crate::{growth, placement, purges, sites};
 use jiff::tz::TimeZone;
 use jiff::Timestamp;
 use std::path::PathBuf;
@@ -105,6 +106,31 @@
     Ok(s)
 }
 
+/// The arguments of `purge_log(...)`, checked.
+pub(super) fn purge_log(mut a: Arguments) -> Result<purges::log::Settings, Bad> {
+    let endpoints = a.list("endpoints", 1..=16, endpoint)?;
+    let below = a.text("prefix", prefix)?;
+    let mut s = purges::log::Settings::new(Vec::new(), "");
+    ms(&mut a, "staleness_ms", 100, 60_000, &mut s.staleness)?;
+    ms(&mut a, "skew_ms", 0, 10_000, &mut s.skew)?;
+    ms(&mut a, "check_ms", 20, 30_000, &mut s.check)?;
+    ms(&mut a, "silence_ms", 20, 30_000, &mut s.silence)?;
+    a.finish()?;
+    s.endpoints = Arguments::required("purge_log", "endpoints", endpoints)?;
+    s.prefix = Arguments::required("purge_log", "prefix", below)?;
+    if s.check + s.silence >= s.staleness {
+        return Err(Bad::whole(
+            format!(
+                "purge_log(): check_ms and silence_ms ({} together) are not below staleness_ms ({})",
+                (s.check + s.silence) / MS,
+                s.staleness / MS
+            ),
+            "one endpoint that falls silent would cut the doorman off; lower them, or raise staleness_ms",
+        ));
+    }
+    Ok(s)
+}
+
 fn day(text: &str) -> Result<u8, String> {
     let at = DAYS.iter().position(|d| *d == text);
     at.map(|d| d as u8).ok_or_else(|| format!("'{text}' is no day; the days are {}", DAYS.join(", ")))
--- a/src/product/mod.rs
+++ b/src/product/mod.rs
@@ -29,6 +29,8 @@
     pub shards: Option<crate::placement::Settings>,
     /// When shards may move.
     pub calendar: crate::placement::quiet::Calendar,
+    /// Purges come by a log in a registry.
+    pub purge_log: Option<crate::purges::log::Settings>,
     /// What shards newly want is counted and forecast.
     pub growth: Option<crate::growth::Settings>,
 }
@@ -161,6 +163,7 @@
             "site_plan" => self.site_plan.replace(fleet::site_plan(a)?).is_some(),
             "shards" => self.shards.replace(fleet::shards(a)?).is_some(),
             "growth" => self.growth.replace(fleet::growth(a)?).is_some(),
+            "purge_log" => self.purge_log.replace(fleet::purge_log(a)?).is_some(),
             "quiet" => return fleet::quiet(a, &mut self.calendar),
             "blackout" => return fleet::blackout(a, &mut self.calendar),
             _ => {
--- a/src/product/script.rs
+++ b/src/product/script.rs
@@ -118,6 +118,11 @@
         take("growth", kwargs)
     }
 
+    /// Where the purge log is kept, and how far it may lag.
+    fn purge_log<'v>(#[starlark(kwargs)] kwargs: SmallMap<String, Value<'v>>) -> anyhow::Result<NoneType> {
+        take("purge_log", kwargs)
+    }
+
     /// How log lines are written.
     fn log<'v>(#[starlark(kwargs)] kwargs: SmallMap<String, Value<'v>>) -> anyhow::Result<NoneType> {
         take("log", kwargs)
@@ -224,7 +229,14 @@
             "merge": g.merge, "ahead": g.ahead, "level": g.level, "waiting": g.waiting,
         })
     });
+    let purge_log = product.purge_log.as_ref().map(|p| {
+        serde_json::json!({
+            "endpoints": p.endpoints, "prefix": p.prefix, "staleness_ms": p.staleness / 1000,
+            "skew_ms": p.skew / 1000, "check_ms": p.check / 1000, "silence_ms": p.silence / 1000,
+        })
+    });
     serde_json::json!({
         "registry": registry, "log": log, "site_plan": site_plan, "shards": shards, "growth": growth,
+        "purge_log": purge_log,
     })
 }
--- a/src/purges/mod.rs
+++ b/src/purges/mod.rs
@@ -9,6 +9,7 @@
 //! What must never happen: a bound that is laxer than the purges ask for. Room is bounded; what finds none goes into
 //! buckets that stand for many objects or tags each, or for everything, and so only ever makes the bound stricter.
 
+pub mod log;
 pub mod recent;
 #[cfg(test)]
 mod tests;
@@ -16,6 +17,7 @@
 use crate::interface::Time;
 use globset::{Glob, GlobSet, GlobSetBuilder};
 use rustc_hash::FxHashMap;
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::Hash;
 use std::sync::Arc;
@@ -29,7 +31,7 @@
 pub const MOST_COVERS: usize = 10_000;
 
 /// What one part of a purge covers.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Cover {
     /// One object.
     Object(u64),
--- a/src/purges/recent.rs
+++ b/src/purges/recent.rs
@@ -11,6 +11,9 @@
 pub struct Recent {
     latest: BTreeMap<Key, Time>,
     ends: VecDeque<(Time, Key)>,
+    now: Time,
+    /// The bound on staleness while purges may be unknown.
+    bound: Option<Time>,
 }
 
 impl Recent {
@@ -22,17 +25,24 @@
         self.ends.push_back((until, key));
     }
 
+    /// Until told otherwise whatever is older than this counts as purged; `None`: all purges are known.
+    pub fn bound(&mut self, age: Option<Time>) {
+        self.bound = age;
+    }
+
     /// Forgets what has ended by now.
     pub fn pass_time(&mut self, now: Time) {
+        self.now = now;
         while self.ends.front().is_some_and(|e| e.0 <= now) {
             let ended = self.ends.pop_front().filter(|e| !self.ends.iter().any(|other| other.1 == e.1));
             ended.and_then(|e| self.latest.remove(&e.1));
         }
     }
 
-    /// The latest purge of an object or of its group.
+    /// The latest purge of an object or of its group, or the moment from which on that is not known.
     pub fn at(&self, object: u64, group: u64) -> Option<Time> {
-        self.latest.get(&Ok(object)).max(self.latest.get(&Err(group))).copied()
+        let told = self.latest.get(&Ok(object)).max(self.latest.get(&Err(group))).copied();
+        told.max(self.bound.map(|age| self.now.saturating_sub(age)))
     }
 }
 
--- a/src/registry/documents/driver.rs
+++ b/src/registry/documents/driver.rs
@@ -63,11 +63,23 @@
         // within half of that.
         let usual = Settings::new(endpoints.len(), prefix);
         let settings = Settings { answer: usual.answer.min(lease / 2), ..usual };
+        let campaign = Campaign::new(name, lease, lease / SPREAD, seed.rotate_left(32));
+        DocumentsDriver { campaign, ..DocumentsDriver::following(endpoints, settings, seed, now, log) }
+    }
+
+    /// One that only follows, by these settings: it is no planner, and never wants to be one.
+    pub fn following(
+        endpoints: Vec<SocketAddr>,
+        settings: Settings,
+        seed: u64,
+        now: Time,
+        log: Logger,
+    ) -> Self {
         DocumentsDriver {
             log,
             endpoints,
             documents: Documents::new(settings, seed, now),
-            campaign: Campaign::new(name, lease, lease / SPREAD, seed.rotate_left(32)),
+            campaign: Campaign::new("", 0, 0, seed),
             link: None,
             actions: Vec::new(),
             calls: Vec::new(),
