--- a/src/net/doorman.rs
+++ b/src/net/doorman.rs
@@ -62,8 +62,6 @@
 const MS: Time = 1_000;
 /// Requests that may be open on one client connection.
 const STREAMS: usize = 32;
-/// Requests of one connection that may be taken back beyond those that are answered.
-const TAKEN_BACK: u32 = 64;
 /// Kept back of a client's patience, so that an answer at the last moment is out before it ends. Timers come up
 /// to 1 ms late. It is kept small: a client in a hurry, who waits 40 ms in all, is served in what is left.
 const MARGIN: Time = 4 * MS;
--- a/src/net/doorman/clients.rs
+++ b/src/net/doorman/clients.rs
@@ -6,6 +6,8 @@
 const OUT_OF_RANGE: u64 = 4;
 /// Connections taken in one turn, and the pause after an accept that failed for want of descriptors.
 const ACCEPTS: usize = 64;
+/// Requests of one connection that may be taken back beyond those that are answered.
+pub(super) const TAKEN_BACK: u32 = 64;
 const ACCEPT_PAUSE: Time = 20 * MS;
 /// A client whose connection was ended has so long to end it too.
 pub(super) const LINGERS: Time = 500 * MS;
--- a/src/net/doorman/tests.rs
+++ b/src/net/doorman/tests.rs
@@ -696,7 +696,7 @@
     w.ended(&mut client);
     // Whoever takes back again and again is let go.
     let mut client = w.client();
-    let again = (1..=TAKEN_BACK + 1).flat_map(|n| [request(n, 100 + n, "clip"), frame(9, n, &[])]);
+    let again = (1..=clients::TAKEN_BACK + 1).flat_map(|n| [request(n, 100 + n, "clip"), frame(9, n, &[])]);
     for bytes in again {
         client.put(&bytes);
         w.doorman.turn().unwrap();
