--- a/crates/scale/src/bin/scale.rs
+++ b/crates/scale/src/bin/scale.rs
@@ -1,6 +1,80 @@
-//! A day of hollow doormans, by name or file.
+//! A day of hollow doormans, by name or file: a table, and the report as JSON if wanted. Status not 0 for a broken
+//! promise or for what can't be run.
 
-fn main() -> std::process::ExitCode {
-    eprintln!("scale: {}", larchdale_scale::ScaleError::NotBuilt);
-    std::process::ExitCode::FAILURE
+use clap::Parser;
+use larchdale_scale::scenario::{Scenario, NAMES};
+use larchdale_scale::{run, ScaleError};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// Runs hollow doormans in virtual time.
+#[derive(Parser)]
+#[command(about, after_help = format!("Built-in scenarios: {}.", NAMES.join(", ")))]
+struct Args {
+    /// A built-in scenario, or a file of JSON.
+    scenario: String,
+    /// Doormans; else what the scenario says.
+    #[arg(long)]
+    size: Option<usize>,
+    /// Equal seeds give equal reports.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Only this part of a scenario that has both.
+    #[arg(long, value_enum)]
+    only: Option<Part>,
+    /// Bytes of each doorman's note, in place of what the scenario says.
+    #[arg(long)]
+    note_bytes: Option<usize>,
+    /// Writes the report there too.
+    #[arg(long)]
+    json: Option<PathBuf>,
+}
+
+#[derive(Clone, Copy, clap::ValueEnum)]
+enum Part {
+    View,
+    Follow,
+}
+
+/// Runs it; whether all promises were kept.
+fn work(args: Args) -> Result<bool, ScaleError> {
+    let name = &args.scenario;
+    let mut scenario = if NAMES.contains(&name.as_str()) {
+        Scenario::named(name, args.size.unwrap_or(Scenario::default().size))?
+    } else {
+        let known = || NAMES.join(", ");
+        let text = std::fs::read_to_string(name).map_err(|why| match why.kind() {
+            std::io::ErrorKind::NotFound => ScaleError::NoScenario { name: name.clone(), known: known() },
+            _ => ScaleError::File { path: name.clone(), why },
+        })?;
+        Scenario::parse(name, &text)?
+    };
+    match args.only {
+        Some(Part::View) => scenario.follow = None,
+        Some(Part::Follow) => scenario.view = None,
+        None => {}
+    }
+    if let (Some(view), Some(bytes)) = (&mut scenario.view, args.note_bytes) {
+        view.note_bytes = bytes;
+    }
+    let report = run(&scenario, args.size.unwrap_or(scenario.size), args.seed)?;
+    print!("{report}");
+    if let Some(path) = args.json {
+        let mut text = serde_json::to_string_pretty(&report).unwrap_or_default();
+        text.push('\n');
+        std::fs::write(&path, text)
+            .map_err(|why| ScaleError::Write { path: path.display().to_string(), why })?;
+    }
+    Ok(report.broken.is_empty())
+}
+
+fn main() -> ExitCode {
+    match work(Args::parse()) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(1),
+        Err(why) => {
+            eprintln!("scale: {why}");
+            ExitCode::from(2)
+        }
+    }
 }
--- a/crates/scale/src/figures.rs
+++ b/crates/scale/src/figures.rs
@@ -111,7 +111,8 @@
     /// Milliseconds from a commit until a doorman's mirror shows it, over all doormans and commits where the doorman
     /// could reach the control machines all the time.
     pub in_force_ms: Spread,
-    /// The same where it was cut off or not running for some of it: from when it could reach them again.
+    /// The same where it was cut off or not running for some of it, or less than 4 s before: from the later of the
+    /// commit and when it could reach them again.
     pub caught_up_ms: Spread,
     /// Pairs of a commit and a doorman that should have shown it by the end and did not.
     pub missing: u64,
--- /dev/null
+++ b/crates/scale/src/follow/registry.rs
@@ -0,0 +1,134 @@
+//! What the control machines hold: one store, its count of keys by revision, and answers that many ask for, written
+//! once.
+
+use larchdale::registry::messages::{KeyValue, RangeRequest, RangeResponse, ResponseHeader, WatchResponse};
+use larchdale_standins::registry::store::{Refused, Store};
+use prost::Message;
+use rustc_hash::FxHashMap;
+use std::rc::Rc;
+
+/// Keys below it are followed.
+pub const PREFIX: &str = "/larchdale/scale/";
+/// Pages that are kept written.
+const MOST_PAGES: usize = 512;
+
+/// A page by the revision it is of, its first key and its limit.
+type PageName = (i64, Vec<u8>, i64);
+
+/// See the module.
+pub struct Registry {
+    store: Store,
+    slots: usize,
+    value: Vec<u8>,
+    /// Keys there are, by revision from 1 on. [`Store::range`] would walk over all keys for each count.
+    counts: Vec<i64>,
+    /// Pages without their heads, and how many keys follow.
+    pages: FxHashMap<PageName, Rc<[u8]>>,
+}
+
+/// Bytes of a message.
+pub fn written(message: &impl Message) -> Rc<[u8]> {
+    message.encode_to_vec().into()
+}
+
+impl Registry {
+    /// One whose ring of so many slots is full.
+    pub fn new(slots: usize, value_bytes: usize) -> Self {
+        let mut registry = Registry {
+            store: Store::new(0x1a5c_da1e),
+            slots,
+            value: vec![b'v'; value_bytes],
+            counts: vec![0, 0],
+            pages: FxHashMap::default(),
+        };
+        (0..slots).for_each(|_| _ = registry.commit());
+        registry
+    }
+
+    /// The latest revision.
+    pub fn revision(&self) -> i64 {
+        self.store.revision
+    }
+
+    /// Writes the next slot of the ring; the revision of that.
+    pub fn commit(&mut self) -> i64 {
+        // Revision 1 is the empty store's.
+        let written = (self.store.revision - 1) as usize;
+        let slot = written % self.slots;
+        let text = format!("{written:016x}");
+        self.value.iter_mut().zip(text.bytes()).for_each(|(v, t)| *v = t);
+        let key = format!("{PREFIX}log/{slot:04}");
+        let revision = self.store.put(key.as_bytes(), &self.value, 0);
+        self.counts.push((written + 1).min(self.slots) as i64);
+        revision
+    }
+
+    /// The head of a machine's answer.
+    pub fn header(&self, machine: usize, applied: i64) -> Option<ResponseHeader> {
+        // Members of a real cluster have numbers of 64 bits.
+        let mut header = self.store.header(0x8e9e_05c5_2164_694d ^ machine as u64, applied)?;
+        header.cluster_id = 0xcdf8_181e_3277_8a4d;
+        Some(header)
+    }
+
+    /// The answer to a count.
+    pub fn count(&self, machine: usize, applied: i64) -> Rc<[u8]> {
+        let count = self.counts.get(applied as usize).copied().unwrap_or(0);
+        written(&RangeResponse { header: self.header(machine, applied), count, ..RangeResponse::default() })
+    }
+
+    /// A page of a list.
+    pub fn page(
+        &mut self,
+        request: &RangeRequest,
+        machine: usize,
+        applied: i64,
+    ) -> Result<Rc<[u8]>, Refused> {
+        let at = if request.revision == 0 { applied } else { request.revision };
+        let name = (at, request.key.clone(), request.limit);
+        if !self.pages.contains_key(&name) || at > applied {
+            let page = self.store.range(request, machine as u64, applied)?;
+            if self.pages.len() >= MOST_PAGES {
+                self.pages.clear();
+            }
+            self.pages.insert(name.clone(), written(&RangeResponse { header: None, ..page }));
+        }
+        // Fields of a message may be written one after the other: the head, then all else.
+        let head = RangeResponse { header: self.header(machine, applied), ..RangeResponse::default() };
+        let mut bytes = head.encode_to_vec();
+        bytes.extend_from_slice(self.pages.get(&name).map_or(&[], |p| p));
+        Ok(bytes.into())
+    }
+
+    /// The changes of some revisions as a watch tells them.
+    pub fn changes(&self, machine: usize, from: i64, applied: i64) -> Rc<[u8]> {
+        let events = self.store.changes(PREFIX.as_bytes(), from, applied).unwrap_or_default();
+        let header = self.header(machine, applied);
+        written(&WatchResponse { header, watch_id: 1, events, ..WatchResponse::default() })
+    }
+
+    /// The word that a watch is made.
+    pub fn created(&self, machine: usize, applied: i64) -> Rc<[u8]> {
+        let header = self.header(machine, applied);
+        written(&WatchResponse { header, watch_id: 1, created: true, ..WatchResponse::default() })
+    }
+
+    /// The word of how far all watches are.
+    pub fn progress(&self, machine: usize, applied: i64) -> Rc<[u8]> {
+        written(&WatchResponse {
+            header: self.header(machine, applied),
+            watch_id: -1,
+            ..WatchResponse::default()
+        })
+    }
+
+    /// All keys as they are now, for tests.
+    pub fn all(&self) -> Vec<KeyValue> {
+        let request = RangeRequest {
+            key: PREFIX.into(),
+            range_end: larchdale::registry::record::range_end(PREFIX.as_bytes()),
+            ..RangeRequest::default()
+        };
+        self.store.range(&request, 0, self.store.revision).map(|r| r.kvs).unwrap_or_default()
+    }
+}
--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -7,26 +7,58 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod checker;
 pub mod error;
 pub mod figures;
+pub mod follow;
+mod gather;
+pub mod network;
+pub mod places;
+pub mod plan;
+pub mod queue;
+pub mod records;
+pub mod run;
+pub mod scenario;
+pub mod view;
 
 pub use error::ScaleError;
 pub use figures::{FollowFigures, Spread, ViewFigures};
+pub use run::{run, Report};
+pub use scenario::Scenario;
+
+use scenario::{Event, Follow, View};
 
 /// The view alone on an ordinary network, all known to each other from the start, one doorman killed half-way.
 ///
-/// `size` doormans (3 to 4,096), `seconds` measured, `note_bytes` of each doorman's note (0: none, 64 at most).
+/// `size` doormans (2 to 4,096), `seconds` measured (60 or more for the death to be known to all of a large fleet),
+/// `note_bytes` of each doorman's note (0: none, 64 at most).
 pub fn view_slope(
-    _size: usize,
-    _seed: u64,
-    _seconds: u64,
-    _note_bytes: usize,
+    size: usize,
+    seed: u64,
+    seconds: u64,
+    note_bytes: usize,
 ) -> Result<ViewFigures, ScaleError> {
-    Err(ScaleError::NotBuilt)
+    let half = seconds as f64 / 2.0;
+    let scenario = Scenario {
+        name: "view".to_owned(),
+        seconds,
+        view: Some(View { note_bytes, cold: false }),
+        events: vec![Event::Failures { count: 1, from_s: half, until_s: seconds as f64 }],
+        ..Scenario::default()
+    };
+    let plan = plan::Plan::new(&scenario, size, seed)?;
+    Ok(view::run(&scenario, &plan, seed).figures)
 }
 
 /// Followers of documents alone on an ordinary network: `size` doormans (1 to 4,096) on 12 control machines, 20
 /// commits a second, `seconds` measured.
-pub fn follow_slope(_size: usize, _seed: u64, _seconds: u64) -> Result<FollowFigures, ScaleError> {
-    Err(ScaleError::NotBuilt)
+pub fn follow_slope(size: usize, seed: u64, seconds: u64) -> Result<FollowFigures, ScaleError> {
+    let scenario = Scenario {
+        name: "follow".to_owned(),
+        seconds,
+        follow: Some(Follow::default()),
+        ..Scenario::default()
+    };
+    let plan = plan::Plan::new(&scenario, size, seed)?;
+    Ok(follow::run(&scenario, &plan, seed, |_| follow::Mirror).figures)
 }
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -203,6 +203,17 @@
         gossip
     }
 
+    /// Takes these incarnations of others for known without telling them on, and without word of it: for a view that
+    /// goes on from a known state, as in simulations. Of whom something later is held, that stays.
+    pub fn assume(&mut self, known: impl IntoIterator<Item = (MemberId, Incarnation)>) {
+        for (member, incarnation) in known {
+            let other = member != self.config.me && incarnation < message::ABSURD;
+            if let Some(held) = self.members.get_mut(usize::from(member)).filter(|_| other) {
+                held.incarnation = held.incarnation.max(incarnation);
+            }
+        }
+    }
+
     /// What is held of each member, by number.
     pub fn view(&self) -> impl Iterator<Item = (MemberId, State, Incarnation)> + '_ {
         self.members.iter().enumerate().map(|(n, m)| (n as MemberId, m.state, m.incarnation))
