Slopes by role, hollow doormans on sockets, docs/capacity.json and its page

Seen: the figures for the fleet to come were sums on paper. `make measure-capacity` now measures them: slopes of the real cores in one process (thread's own clock, bytes on the heap by a counting allocator in a program of its own), real processes with registry() and shards() behind a tap that counts bytes and messages, and hollow doormans (real drivers on one loop) by 30 to 1,000 before a stand-in registry. Laws, figures at the target and sums follow from the measured points alone; a test fails if page, file or sums differ.

Ruled out: timing under the counting allocator, which adds to each allocation. The fit (five laws, by relative error, nothing below 0) is a few lines with tests. Sizes at which the stand-in's thread is never idle are left out of its slopes; 1,000 followers of the list lost their sessions again and again before it.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Build, test, lint and run larchdale.
 .PHONY: build test lint run example example-registry measure-registry measure-deployments measure-view measure-sites \
-	measure-shards measure-growth lay-unlock
+	measure-shards measure-growth measure-capacity capacity-page lay-unlock
 
 build:
 	cargo build --release --locked
@@ -49,6 +49,17 @@
 	cargo build --release --locked -p larchdale-standins --bin measure-growth
 	target/release/measure-growth
 
+# What each role costs as the fleet grows, and what that comes to at the size to come, beside what it may cost: slopes in
+# one process, real doormans and hollow ones on loopback. Writes docs/capacity.json and the tables of docs/CAPACITY.md.
+# QUICK=--quick: small sizes, in seconds; writes nothing.
+measure-capacity: build
+	cargo build --release --locked -p larchdale-scale
+	target/release/measure-capacity target/release/larchdale $(QUICK)
+
+# The tables of docs/CAPACITY.md anew from docs/capacity.json; measures nothing.
+capacity-page:
+	cargo run --release --locked -p larchdale-scale --bin measure-capacity -- target/release/larchdale --page
+
 # A site's loss and return with the plan on and off: aim beside figure, by six processes and a hundred simulated doormans.
 measure-sites: build
 	cargo build --release --locked -p larchdale-standins --bin measure-sites
--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -4,14 +4,20 @@
 //! Equal scenarios, sizes and seeds give equal reports, byte for byte. What is left out: sockets, system calls, the
 //! processor time of doormans and of control machines (an answer takes no time there; calls are counted instead), and
 //! the limits of links. [`follow`] and [`network`] say what messages and lost packets are taken to cost.
+//!
+//! Beside them, what that leaves out is measured: [`slopes`] takes the processor time and the bytes of single cores,
+//! [`loopback`] runs real drivers and real processes against a stand-in registry, and [`capacity`] fits laws to all of it
+//! and works the target's figures out of them.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod capacity;
 pub mod checker;
 pub mod error;
 pub mod figures;
 pub mod follow;
 mod gather;
+pub mod loopback;
 pub mod network;
 pub mod places;
 pub mod plan;
@@ -19,6 +25,7 @@
 pub mod records;
 pub mod run;
 pub mod scenario;
+pub mod slopes;
 pub mod view;
 
 pub use error::ScaleError;
--- /dev/null
+++ b/crates/scale/src/slopes/list.rs
@@ -0,0 +1,287 @@
+//! A follower of the list of depots: the session with the registry and the membership, fed by a stand-in's store
+//! without sockets between them. What HTTP/2 adds to the bytes is seen in [`crate::loopback`].
+
+use super::cost::{heap, Stopwatch};
+use super::Effort;
+use crate::capacity::target::{Sum, DEPOTS, DOORMANS, REGIONS};
+use crate::capacity::{Per, Quantity, Role, Row};
+use larchdale::interface::{Listed, Role as Serves};
+use larchdale::membership::{Entry, Membership};
+use larchdale::product::Registry as Settings;
+use larchdale::registry::messages::{RangeRequest, RangeResponse, WatchResponse};
+use larchdale::registry::record::{range_end, Names, Reader, Record, State};
+use larchdale::registry::session::{Action, Session, Update};
+use larchdale_standins::registry::store::Store;
+use prost::Message;
+use std::net::SocketAddr;
+
+const MECHANISM: &str = "src/registry/session.rs, Session; src/membership/mod.rs, Membership";
+const PREFIX: &str = "/larchdale/scale/";
+const MS: u64 = 1_000;
+const S: u64 = 1_000 * MS;
+/// What stands before each message of gRPC.
+const FRAME: usize = 5;
+/// Seconds in which all of a region that comes back take a list.
+const RETURNS: f64 = 10.0;
+
+fn record(n: usize, weight: f64) -> (Vec<u8>, Vec<u8>) {
+    record_below(PREFIX, n, weight)
+}
+
+/// The key and the record of a depot below a prefix. It is of another zone than the doorman, which never asks it.
+pub fn record_below(prefix: &str, n: usize, weight: f64) -> (Vec<u8>, Vec<u8>) {
+    let record = Record {
+        address: SocketAddr::from(([127, 1, (n >> 8) as u8, n as u8], 9)),
+        kind: "small-box".to_owned(),
+        zone: "hub".to_owned(),
+        state: State::Ready,
+        cell: 0,
+        weight,
+        started_ms: 1_800_000_000_000,
+    };
+    (format!("{prefix}far-{n:05}").into_bytes(), serde_json::to_vec(&record).unwrap_or_default())
+}
+
+fn names() -> Names {
+    Names {
+        kinds: ["small-box", "parent", "origin"].map(str::to_owned).to_vec(),
+        zones: ["hub", "branch"].map(str::to_owned).to_vec(),
+    }
+}
+
+/// One doorman's session and list beside a store.
+struct Follower {
+    store: Store,
+    reader: Reader,
+    session: Session,
+    list: Membership,
+    now: u64,
+    watch: Option<(i64, i64)>,
+    /// Messages and bytes that came.
+    came: (u64, u64),
+    went: u64,
+}
+
+/// What the store answers with.
+enum Answer {
+    Page(u64, Vec<u8>, bool, Vec<u8>),
+    Said(Vec<u8>),
+}
+
+impl Follower {
+    fn new(depots: usize) -> Follower {
+        let mut store = Store::new(7);
+        for n in 0..depots {
+            let (key, value) = record(n, 1.0);
+            store.put(&key, &value, 0);
+        }
+        let settings = Settings::new(vec![SocketAddr::from(([127, 0, 0, 1], 9))], PREFIX);
+        let reader = Reader { prefix: PREFIX.to_owned(), names: names(), most_value: settings.most_value };
+        let now = 1_000 * S;
+        let (session, list) = (Session::new(settings, 7, now), Membership::new(65_536));
+        Follower { store, reader, session, list, now, watch: None, came: (0, 0), went: 0 }
+    }
+
+    /// Tells the session something, and does what it asks until it asks no more.
+    fn step(&mut self, watch: &mut Stopwatch, what: impl FnOnce(&mut Session, u64, &mut Vec<Action>)) {
+        let mut actions = Vec::new();
+        let (session, now) = (&mut self.session, self.now);
+        watch.time(|| what(session, now, &mut actions));
+        self.take_up(watch);
+        for action in actions {
+            self.carry_out(watch, action);
+        }
+    }
+
+    fn take_up(&mut self, watch: &mut Stopwatch) {
+        let (session, list, now) = (&mut self.session, &mut self.list, self.now);
+        watch.time(|| {
+            for update in session.take(usize::MAX) {
+                let _ = match update {
+                    Update::Gone(id) => {
+                        list.remove(now, &id);
+                        Ok(())
+                    }
+                    Update::Close(id) => {
+                        list.close(now, &id);
+                        Ok(())
+                    }
+                    Update::Put { id, depot, process, .. } => list.put(
+                        now,
+                        Entry {
+                            id,
+                            address: depot.address,
+                            listed: Listed::Healthy,
+                            role: Serves::Cache,
+                            zone: depot.zone,
+                            cell: depot.cell,
+                            kind: depot.kind,
+                            weight: depot.weight,
+                            started: depot.started_ms,
+                            process,
+                        },
+                    ),
+                };
+            }
+            list.take(usize::MAX, &mut Vec::new());
+        });
+    }
+
+    fn range(&mut self, request: &RangeRequest) -> Vec<u8> {
+        let answer = self.store.range(request, 1, self.store.revision);
+        answer.map(|a| a.encode_to_vec()).unwrap_or_default()
+    }
+
+    fn carry_out(&mut self, watch: &mut Stopwatch, action: Action) {
+        self.went += u64::from(!matches!(action, Action::Say(_) | Action::Dial { .. } | Action::Hang { .. }));
+        let all = RangeRequest {
+            key: PREFIX.as_bytes().to_vec(),
+            range_end: range_end(PREFIX.as_bytes()),
+            ..RangeRequest::default()
+        };
+        match action {
+            Action::Dial { link, .. } => self.step(watch, |s, now, a| s.dialed(now, link, a)),
+            Action::List { call, from, revision, limit, keys_only } => {
+                let (revision, limit) = (revision as i64, limit as i64);
+                let page = self.range(&RangeRequest { key: from.clone(), revision, limit, keys_only, ..all });
+                self.hear(watch, Answer::Page(call, from, false, page));
+            }
+            Action::Count { call } => {
+                let count = self.range(&RangeRequest { count_only: true, ..all });
+                self.hear(watch, Answer::Page(call, PREFIX.as_bytes().to_vec(), true, count));
+            }
+            Action::Watch { watch: number, revision } => {
+                self.watch = Some((number, revision as i64));
+                let header = self.store.header(1, self.store.revision);
+                let made = WatchResponse { header, watch_id: number, created: true, ..Default::default() };
+                self.hear(watch, Answer::Said(made.encode_to_vec()));
+            }
+            Action::Progress => {
+                let header = self.store.header(1, self.store.revision);
+                let far = WatchResponse { header, watch_id: -1, ..Default::default() };
+                self.hear(watch, Answer::Said(far.encode_to_vec()));
+            }
+            Action::Hang { .. } | Action::Unwatch { .. } | Action::Say(_) => {}
+        }
+    }
+
+    /// Reads what comes and hands it to the session, as the driver does.
+    fn hear(&mut self, watch: &mut Stopwatch, answer: Answer) {
+        let bytes = match &answer {
+            Answer::Page(.., bytes) | Answer::Said(bytes) => bytes.len() + FRAME,
+        };
+        self.came = (self.came.0 + 1, self.came.1 + bytes as u64);
+        let reader = self.reader.clone();
+        self.step(watch, |session, now, actions| match answer {
+            Answer::Page(call, from, count, bytes) => {
+                let read = RangeResponse::decode(&bytes[..]).ok().and_then(|r| reader.page(&r, &from).ok());
+                match read {
+                    Some(page) if count => session.counted(now, call, page.header, page.count, actions),
+                    Some(page) => session.listed(now, call, page, actions),
+                    None => {}
+                }
+            }
+            Answer::Said(bytes) => {
+                let read = WatchResponse::decode(&bytes[..]).ok().and_then(|s| reader.said(&s).ok());
+                if let Some(said) = read {
+                    session.said(now, said, actions);
+                }
+            }
+        });
+    }
+
+    /// Lists until it follows.
+    fn follow(&mut self, watch: &mut Stopwatch) {
+        for _ in 0..1_000_000 {
+            if self.session.is_watching() && !self.session.has_updates() {
+                return;
+            }
+            self.step(watch, |s, now, a| s.tick(now, a));
+            if !self.session.is_taking_up() {
+                self.now = self.now.max(self.session.next());
+            }
+        }
+    }
+
+    /// One record changes, and is told.
+    fn change(&mut self, watch: &mut Stopwatch, n: usize, weight: f64) {
+        let (key, value) = record(n, weight);
+        self.store.put(&key, &value, 0);
+        let Some((number, next)) = self.watch else { return };
+        let header = self.store.header(1, self.store.revision);
+        let events = self.store.changes(PREFIX.as_bytes(), next, self.store.revision).unwrap_or_default();
+        self.watch = Some((number, self.store.revision + 1));
+        let said = WatchResponse { header, watch_id: number, events, ..Default::default() };
+        self.hear(watch, Answer::Said(said.encode_to_vec()));
+    }
+}
+
+fn sizes(effort: Effort) -> &'static [usize] {
+    effort.sizes(&[100, 420, 1_000, 4_000], &[50, 100, 200, 420])
+}
+
+/// Bytes of a first list, processor time of a list, a change and a check.
+pub fn times(effort: Effort) -> Vec<Row> {
+    let row = |name: &str, quantity, points: &[(f64, f64)]| {
+        Row::new(Role::List, name, quantity, Per::Depot, DEPOTS, points, MECHANISM)
+    };
+    let followed = |size: usize| {
+        let (mut f, mut watch) = (Follower::new(size), Stopwatch::new());
+        f.follow(&mut watch);
+        (f, watch)
+    };
+    let sizes = sizes(effort);
+    let bytes = effort.points(sizes, |n| followed(n).0.came.1 as f64);
+    let list = effort.points(sizes, |n| followed(n).1.us());
+    let change = effort.points(sizes, |n| {
+        let (mut f, mut watch) = (followed(n).0, Stopwatch::new());
+        // A warm-up first: what a map grows by once is no part of a change.
+        (0..n.min(200)).for_each(|k| f.change(&mut Stopwatch::new(), k, 2.0));
+        let many = 500;
+        (0..many).for_each(|k| f.change(&mut watch, k * 7 % n, 3.0 + (k % 5) as f64));
+        watch.us() / many as f64
+    });
+    let check = effort.points(sizes, |n| {
+        let (mut f, mut watch) = (followed(n).0, Stopwatch::new());
+        let from = f.now;
+        while f.now < from + 30 * S {
+            f.now = f.session.next().max(f.now + 1);
+            f.step(&mut watch, |s, now, a| s.tick(now, a));
+        }
+        watch.us() / 30.0
+    });
+    let calls = effort.points(sizes, |n| {
+        let mut f = followed(n).0;
+        let (from, went) = (f.now, f.went);
+        while f.now < from + 30 * S {
+            f.now = f.session.next().max(f.now + 1);
+            f.step(&mut Stopwatch::new(), |s, now, a| s.tick(now, a));
+        }
+        (f.went - went) as f64 / 30.0
+    });
+    vec![
+        row("a first list, messages without HTTP/2", Quantity::Bytes, &bytes).counts(
+            Sum::ControlBytes,
+            0.0,
+            DOORMANS / REGIONS / RETURNS,
+        ),
+        row("a first list read and taken up", Quantity::CpuEach, &list),
+        row("a change read and taken up, core", Quantity::CpuEach, &change),
+        row("checks that nothing was missed, core", Quantity::CpuRate, &check),
+        row("calls and requests of these checks", Quantity::MessagesOut, &calls),
+    ]
+}
+
+/// Bytes of session and list.
+pub fn heaps(effort: Effort) -> Vec<Row> {
+    let points = effort.points(sizes(effort), |n| {
+        heap(|| {
+            let mut f = Follower::new(n);
+            f.follow(&mut Stopwatch::new());
+            (f.session, f.list)
+        })
+    });
+    let name = "session and list";
+    let row = Row::new(Role::List, name, Quantity::Heap, Per::Depot, DEPOTS, &points, MECHANISM);
+    vec![row.counts(Sum::DoormanMemory, 1.0, 1.0)]
+}
--- /dev/null
+++ b/crates/scale/tests/limits.rs
@@ -0,0 +1,71 @@
+//! What happens beyond constants that the fleet's size to come passes, or comes near: refused with a word, cut off, or
+//! slower. The table of docs/CAPACITY.md rests on these.
+
+use larchdale::placement::map::{ShardMap, MOST_SHARDS};
+use larchdale::product::script;
+use larchdale::registry::documents::Settings;
+use larchdale::sites::note::{Note, Sight, LARGEST, SITES};
+use larchdale::sites::plan::{Maker, PlanError, MOST_ZONES};
+use larchdale_scale::capacity::target;
+use larchdale_scale::slopes::cost::Stopwatch;
+use larchdale_scale::slopes::documents::Mirror;
+use larchdale_scale::slopes::plan::inputs;
+use larchdale_standins::registry::store::Store;
+use std::path::Path;
+
+#[test]
+fn plans_for_more_zones_than_may_be_are_refused_with_a_word() {
+    let zones = target::SITES as usize;
+    let refused = Maker::new(&inputs(zones, false)).unwrap_err();
+    assert_eq!(refused, PlanError::TooMany { what: "zones", count: zones, most: MOST_ZONES });
+    assert!(refused.to_string().contains("leave site_plan() out"), "{refused}");
+}
+
+/// A region's loss takes 13 sites: a note has room for fewer of them, and says nothing of the others.
+#[test]
+fn a_note_has_room_for_fewer_sites_than_it_may_name() {
+    let sight = |zone| Sight { zone, reached: 0, failed: 9, dark_tenths: 30, held: 2 };
+    let sights: Vec<Sight> = (0..(target::SITES / target::REGIONS) as u8).map(|n| sight(150 + n)).collect();
+    let note = Note { zone: 99, clock_ms: 1_800_000_000_000, plan: u32::MAX, epoch: 5_000, sights };
+    let bytes = note.encode();
+    let told = Note::decode(&bytes).unwrap().sights.len();
+    assert!(bytes.len() <= LARGEST && told < SITES && told < note.sights.len(), "{told}");
+    assert_eq!(told, 9);
+}
+
+#[test]
+fn documents_beyond_the_bytes_that_may_be_are_not_followed() {
+    let with = |keys: usize| {
+        let mut store = Store::new(7);
+        for n in 0..keys {
+            store.put(format!("/f/growth/{n}").as_bytes(), &vec![7; 2_000_000], 0);
+        }
+        Mirror::new(store).follow(&mut Stopwatch::new())
+    };
+    // A minute of growth() in a fleet of 3,300 has far more than the 64 MB that are kept.
+    assert!(with(30) && !with(36));
+    assert_eq!((Settings::new(1, "/f/").most_keys, Settings::new(1, "/f/").most_bytes), (50_000, 64 << 20));
+}
+
+#[test]
+fn a_map_has_no_more_shards_than_may_be_and_its_document_is_small_enough() {
+    let map = ShardMap::first(3, 1, MOST_SHARDS + 1);
+    assert_eq!(map.shards.len(), MOST_SHARDS, "the setting refuses more, so that nobody asks for it");
+    let mut full = ShardMap::first(3, 1, MOST_SHARDS);
+    let why = full.split(0, 1, MOST_SHARDS).unwrap_err().to_string();
+    assert!(why.contains("as many shards as may be"), "{why}");
+}
+
+#[test]
+fn windows_beyond_those_that_may_be_are_refused_with_a_word() {
+    let text = |many: usize| {
+        let call = |n: usize| {
+            format!("quiet(zone = \"z{n}\", days = [\"sat\"], since = \"22:00\", until = \"05:00\", tz = \"UTC\")\n")
+        };
+        let shards = "shards(endpoints = [\"127.0.0.1:2379\"], prefix = \"/f/\")\n";
+        (0..many).map(call).chain([shards.to_owned()]).collect::<String>()
+    };
+    script::run(Path::new("x.star"), text(target::SITES as usize)).unwrap();
+    let why = script::run(Path::new("x.star"), text(2 * target::SITES as usize)).unwrap_err().to_string();
+    assert!(why.contains("256 windows"), "{why}");
+}
