--- a/crates/scale/src/bin/scale.rs
+++ b/crates/scale/src/bin/scale.rs
@@ -25,6 +25,12 @@
     /// Bytes of each doorman's note, in place of what the scenario says.
     #[arg(long)]
     note_bytes: Option<usize>,
+    /// Commits are purges followed by the purge log, each to be in force within so many ms wherever it is vouched for.
+    #[arg(long, value_name = "MS")]
+    purges: Option<f64>,
+    /// The same promise held against mirrors that vouch for what they show at all times: what the log's bound is for.
+    #[arg(long, value_name = "MS", conflicts_with = "purges")]
+    unbounded: Option<f64>,
     /// Writes the report there too.
     #[arg(long)]
     json: Option<PathBuf>,
@@ -57,6 +63,11 @@
     if let (Some(view), Some(bytes)) = (&mut scenario.view, args.note_bytes) {
         view.note_bytes = bytes;
     }
+    if let Some(follow) = &mut scenario.follow {
+        follow.purge_log |= args.purges.is_some();
+        let promised = args.purges.or(args.unbounded);
+        scenario.promises.in_force_or_strict_ms = promised.or(scenario.promises.in_force_or_strict_ms);
+    }
     let report = run(&scenario, args.size.unwrap_or(scenario.size), args.seed)?;
     print!("{report}");
     if let Some(path) = args.json {
--- a/crates/scale/src/checker.rs
+++ b/crates/scale/src/checker.rs
@@ -1,7 +1,7 @@
 //! Which promises a run broke. It reads records and bounds, and knows nothing of the cores: what should have been is
 //! worked out here anew.
 
-use crate::plan::{within, Span};
+use crate::plan::{merged, within, Span};
 use crate::queue::Time;
 use crate::records::{FollowRecords, Shown, Step, ViewRecords};
 use crate::scenario::Promises;
@@ -116,6 +116,31 @@
     [late, early, back].into_iter().filter_map(Cases::end).collect()
 }
 
+/// Holds against the commits what doormans showed and vouched for: from the bound on each has a commit, or says that it
+/// can't vouch, or does not run.
+pub fn vouched(records: &FollowRecords, promises: &Promises) -> Vec<Broken> {
+    let mut lax = Cases::of("in_force_or_strict_ms");
+    let (Some(measured), Some(bound)) = (records.measured, promises.in_force_or_strict_ms.map(micros)) else {
+        return Vec::new();
+    };
+    for (doorman, shown) in records.shown.iter().enumerate() {
+        let excused = merged(shown.strict.iter().chain(&shown.down).copied().collect());
+        let mut steps = shown.steps.iter().peekable();
+        for commit in records.commits.iter().filter(|c| measured.holds(c.at)) {
+            while steps.next_if(|s| s.revision < commit.revision || s.at < commit.at).is_some() {}
+            let from = commit.at.saturating_add(bound);
+            let until = steps.peek().map_or(measured.until, |s| s.at).min(measured.until);
+            if from < until && !excused.iter().any(|s| s.from <= from && until <= s.until) {
+                lax.add(|| {
+                    let span = ms(until - from);
+                    format!("revision {} at doorman {doorman}: {span} ms too long", commit.revision)
+                });
+            }
+        }
+    }
+    lax.end().into_iter().collect()
+}
+
 /// Whether a doorman ran for all of a stretch.
 fn ran(down: &[Span], from: Time, until: Time) -> bool {
     !down.iter().any(|s| s.touches(from, until))
--- a/crates/scale/src/figures.rs
+++ b/crates/scale/src/figures.rs
@@ -116,6 +116,15 @@
     pub caught_up_ms: Spread,
     /// Pairs of a commit and a doorman that should have shown it by the end and did not.
     pub missing: u64,
+    /// Part of the measured time that a doorman could not vouch for what it showed.
+    #[serde(default)]
+    pub strict: Spread,
+    /// Doormans that could not at some time.
+    #[serde(default)]
+    pub strict_doormans: u64,
+    /// Most of them at one time.
+    #[serde(default)]
+    pub strict_most: u64,
     /// Connections that doormans began within the measured time, all together.
     pub dials: u64,
     /// Connections that they lost or gave up.
--- a/crates/scale/src/follow/mod.rs
+++ b/crates/scale/src/follow/mod.rs
@@ -11,9 +11,12 @@
 
 pub mod cost;
 mod machine;
+mod purges;
 pub mod registry;
 
 use self::machine::Machine;
+pub use self::purges::PurgeReader;
+use self::purges::{settings, unix_ms};
 use self::registry::{Registry, PREFIX};
 use crate::figures::{FollowFigures, Spread, Traffic};
 use crate::gather::{spread, Gather};
@@ -23,6 +26,7 @@
 use crate::records::{Commit, FollowRecords, Shown, Step};
 use crate::scenario::{Follow, Scenario};
 use larchdale::net::grpc::Status;
+use larchdale::purges::log::ENTRIES;
 use larchdale::registry::documents::{Action, Documents, Figures, Rpc, Settings};
 use larchdale::registry::messages::{watch_request, RangeRequest};
 use prost::Message;
@@ -167,7 +171,7 @@
 pub fn run<R: Reader, F: FnMut(usize) -> R>(scenario: &Scenario, plan: &Plan, seed: u64, make: F) -> Outcome {
     let spec = scenario.follow.clone().unwrap_or_default();
     let (size, controls) = (plan.places.size, plan.places.controls);
-    let registry = Registry::new(spec.slots, spec.value_bytes);
+    let registry = Registry::new(spec.slots, spec.value_bytes, spec.purge_log);
     let seconds = ((plan.measured.until - plan.measured.from) / SECOND) as usize;
     let machines = (0..controls).map(|_| Machine::new(registry.revision(), seconds)).collect();
     let shown = |d: usize| Shown { down: plan.down[d].clone(), cut_off: plan.cut_off(d), ..Shown::default() };
@@ -321,13 +325,18 @@
             return;
         }
         let seed = self.seed ^ now << 20 ^ doorman as u64;
-        let settings = Settings {
+        let prompt = || {
+            let log = settings();
+            Settings::prompt(self.machines.len(), &format!("{PREFIX}{ENTRIES}"), log.check, log.silence)
+        };
+        let usual = || Settings {
             check: self.spec.check_ms * 1_000,
             answer: self.spec.answer_ms * 1_000,
             silence: self.spec.silence_ms * 1_000,
             page: self.spec.page as i64,
             ..Settings::new(self.machines.len(), PREFIX)
         };
+        let settings = if self.spec.purge_log { prompt() } else { usual() };
         self.doormans[doorman] = Some(Doorman {
             documents: Documents::new(settings, seed, now),
             reader: (self.make)(doorman),
@@ -473,7 +482,7 @@
         self.queue.push(next, Ev::Commit);
         let epoch = self.plan.epoch(now);
         let Some(leader) = epoch.leader else { return };
-        let revision = self.registry.commit();
+        let revision = self.registry.commit(unix_ms(now));
         self.commits.push(Commit { revision, at: now });
         for machine in (0..self.machines.len()).filter(|&m| epoch.serves[m]) {
             self.replicate(now, leader, machine, revision);
@@ -697,6 +706,7 @@
         let records =
             FollowRecords { measured: Some(self.plan.measured), commits: self.commits, shown: self.shown };
         let (in_force, caught_up, missing) = in_force(&records);
+        let (strict, strict_doormans, strict_most) = strict(&records);
         let figures = FollowFigures {
             size,
             seed,
@@ -715,6 +725,9 @@
             in_force_ms: in_force,
             caught_up_ms: caught_up,
             missing,
+            strict,
+            strict_doormans,
+            strict_most,
             dials: self.counted.dials,
             lost: self.counted.lost,
             lists: self.counted.lists,
@@ -725,6 +738,30 @@
     }
 }
 
+/// The part of the measured time that doormans could not vouch for what they showed, how many there were of those, and
+/// how many at the worst moment.
+fn strict(records: &FollowRecords) -> (Spread, u64, u64) {
+    let (mut parts, mut ends, mut many) = (Gather::new(0.001), Vec::new(), 0);
+    let Some(measured) = records.measured else { return Default::default() };
+    for shown in &records.shown {
+        let inside = |s: &Span| {
+            let (from, until) = (s.from.max(measured.from), s.until.min(measured.until));
+            (from < until).then_some(Span { from, until })
+        };
+        let spans = merged(shown.strict.iter().filter_map(inside).collect());
+        let sum: Time = spans.iter().map(|s| s.until - s.from).sum();
+        parts.add(sum as f64 / (measured.until - measured.from) as f64);
+        many += u64::from(!spans.is_empty());
+        ends.extend(spans.iter().flat_map(|s| [(s.from, 1), (s.until, -1)]));
+    }
+    ends.sort_unstable();
+    let at_once = ends.iter().scan(0i64, |sum, e| {
+        *sum += e.1;
+        Some(*sum)
+    });
+    (parts.spread(), many, at_once.max().unwrap_or(0) as u64)
+}
+
 /// Milliseconds from commits until they were in force, without and with a hindrance meanwhile or shortly before, and
 /// how many never were though they should have been.
 fn in_force(records: &FollowRecords) -> (Spread, Spread, u64) {
--- a/crates/scale/src/follow/registry.rs
+++ b/crates/scale/src/follow/registry.rs
@@ -1,6 +1,8 @@
 //! What the control machines hold: one store, its count of keys by revision, and answers that many ask for, written
 //! once.
 
+use larchdale::purges::log::{append, SLOTS};
+use larchdale::purges::Cover;
 use larchdale::registry::messages::{KeyValue, RangeRequest, RangeResponse, ResponseHeader, WatchResponse};
 use larchdale_standins::registry::store::{Refused, Store};
 use prost::Message;
@@ -20,6 +22,9 @@
     store: Store,
     slots: usize,
     value: Vec<u8>,
+    /// The head of the purge log, where commits are purges.
+    head: Option<Vec<u8>>,
+    purge_log: bool,
     /// Keys there are, by revision from 1 on. [`Store::range`] would walk over all keys for each count.
     counts: Vec<i64>,
     /// Pages without their heads, and how many keys follow.
@@ -32,16 +37,19 @@
 }
 
 impl Registry {
-    /// One whose ring of so many slots is full.
-    pub fn new(slots: usize, value_bytes: usize) -> Self {
+    /// One whose ring of so many slots is full; `purge_log`: each commit is a purge of one object, and the ring that of
+    /// the log, whatever `slots` and `value_bytes` say.
+    pub fn new(slots: usize, value_bytes: usize, purge_log: bool) -> Self {
         let mut registry = Registry {
             store: Store::new(0x1a5c_da1e),
-            slots,
+            slots: if purge_log { SLOTS as usize } else { slots },
             value: vec![b'v'; value_bytes],
+            head: None,
+            purge_log,
             counts: vec![0, 0],
             pages: FxHashMap::default(),
         };
-        (0..slots).for_each(|_| _ = registry.commit());
+        (0..registry.slots).for_each(|_| _ = registry.commit(1));
         registry
     }
 
@@ -50,10 +58,21 @@
         self.store.revision
     }
 
-    /// Writes the next slot of the ring; the revision of that.
-    pub fn commit(&mut self) -> i64 {
+    /// Writes the next slot of the ring, at a Unix millisecond; the revision of that.
+    pub fn commit(&mut self, unix_ms: u64) -> i64 {
         // Revision 1 is the empty store's.
         let written = (self.store.revision - 1) as usize;
+        if self.purge_log {
+            // The head lies outside of what is followed.
+            let object = Cover::Object((written as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15));
+            let Ok((_, [head, entry])) = append(self.head.as_deref(), unix_ms, vec![object]) else {
+                return self.store.revision;
+            };
+            self.head = Some(head.1);
+            let revision = self.store.put(format!("{PREFIX}{}", entry.0).as_bytes(), &entry.1, 0);
+            self.counts.push((written + 1).min(self.slots) as i64);
+            return revision;
+        }
         let slot = written % self.slots;
         let text = format!("{written:016x}");
         self.value.iter_mut().zip(text.bytes()).for_each(|(v, t)| *v = t);
--- a/crates/scale/src/run.rs
+++ b/crates/scale/src/run.rs
@@ -3,7 +3,7 @@
 use crate::checker::{self, Broken};
 use crate::error::ScaleError;
 use crate::figures::{FollowFigures, Spread, Traffic, ViewFigures};
-use crate::follow::{self, Mirror};
+use crate::follow::{self, Mirror, PurgeReader};
 use crate::gather::spread;
 use crate::plan::Plan;
 use crate::scenario::Scenario;
@@ -44,9 +44,14 @@
         add(&outcome.bytes_per_s);
         outcome.figures
     });
-    let follow = scenario.follow.as_ref().map(|_| {
-        let outcome = follow::run(scenario, &plan, seed, |_| Mirror);
+    let follow = scenario.follow.as_ref().map(|follow| {
+        let outcome = if follow.purge_log {
+            follow::run(scenario, &plan, seed, |_| PurgeReader::default())
+        } else {
+            follow::run(scenario, &plan, seed, |_| Mirror)
+        };
         broken.extend(checker::follow(&outcome.records, &scenario.promises));
+        broken.extend(checker::vouched(&outcome.records, &scenario.promises));
         add(&outcome.bytes_per_s);
         outcome.figures
     });
@@ -122,6 +127,9 @@
             row(f, "a commit is in force after, ms", v.in_force_ms)?;
             row(f, "after a cut or a start, ms", v.caught_up_ms)?;
             one(f, "commits that should be in force and are not", v.missing)?;
+            row(f, "can't vouch, part of the time of a doorman", v.strict)?;
+            one(f, "doormans that could not at some time", v.strict_doormans)?;
+            one(f, "most of them at one time", v.strict_most)?;
             one(f, "connections begun", v.dials)?;
             one(f, "connections lost", v.lost)?;
             one(f, "lists taken", v.lists)?;
--- a/crates/scale/src/scenario.rs
+++ b/crates/scale/src/scenario.rs
@@ -116,6 +116,9 @@
     pub answer_ms: u64,
     /// Keys in one page of a list.
     pub page: u64,
+    /// Commits are purges, and doormans follow them by the purge log: with its own pauses and pages, and with its bound
+    /// on staleness. Else they show their mirror as it is, and vouch for it at all times.
+    pub purge_log: bool,
 }
 
 /// Machines of one place.
@@ -250,6 +253,8 @@
 pub struct Promises {
     /// A commit is in force with all that can reach the control machines within this; ms.
     pub in_force_ms: Option<f64>,
+    /// From so long after a commit on no doorman that runs shows less and vouches for it all the same; ms.
+    pub in_force_or_strict_ms: Option<f64>,
     /// With those that could not, after they can again; ms.
     pub caught_up_ms: Option<f64>,
     /// A doorman that ended is known to be gone by all that could notice within this; ms.
@@ -303,6 +308,7 @@
             silence_ms: 500,
             answer_ms: 600,
             page: 64,
+            purge_log: false,
         }
     }
 }
@@ -338,6 +344,7 @@
         let suspicion_ms = 1_000.0 * (size as f64).log10().max(1.0);
         s.promises = Promises {
             in_force_ms: Some(4_000.0),
+            in_force_or_strict_ms: None,
             caught_up_ms: Some(8_000.0),
             detection_ms: Some(6_000.0 + 4.0 * suspicion_ms),
             false_deaths: Some(0),
--- a/src/net/doorman/purge_log.rs
+++ b/src/net/doorman/purge_log.rs
@@ -7,12 +7,6 @@
 use crate::registry::documents::driver::DocumentsDriver;
 use crate::registry::documents::Settings as Following;
 
-/// First tries after a loss are spread over this: little, since time runs towards the bound on staleness.
-const SPREAD: Time = 100 * MS;
-/// Longest pause between tries, and so how long after a long outage a doorman may take to see that it is over.
-const LONGEST_PAUSE: Time = 2_000 * MS;
-/// Entries in one page of a list.
-const PAGE: i64 = 256;
 /// Most bytes of entries that are kept: each covers at most `MOST_COVERS` things.
 const MOST_BYTES: usize = 16 << 20;
 
@@ -37,14 +31,7 @@
         let following = Following {
             most_keys: 2 * SLOTS as usize,
             most_bytes: MOST_BYTES,
-            page: PAGE,
-            dial: settings.silence,
-            answer: settings.silence,
-            check: settings.check,
-            silence: settings.silence,
-            spread: SPREAD,
-            longest_pause: LONGEST_PAUSE,
-            ..Following::new(settings.endpoints.len(), &prefix)
+            ..Following::prompt(settings.endpoints.len(), &prefix, settings.check, settings.silence)
         };
         let log = doorman.log.new(slog::o!("of" => "purge log"));
         let driver =
--- a/src/registry/documents/mod.rs
+++ b/src/registry/documents/mod.rs
@@ -100,6 +100,21 @@
             most_calls: 32,
         }
     }
+
+    /// The way of followers that have to know soon that they hear nothing, and to hear again soon: a check each
+    /// `check`, another endpoint after `silence`, and short pauses between tries.
+    pub fn prompt(endpoints: usize, prefix: &str, check: Time, silence: Time) -> Self {
+        Settings {
+            page: 256,
+            dial: silence,
+            answer: silence,
+            check,
+            silence,
+            spread: SECOND / 10,
+            longest_pause: 2 * SECOND,
+            ..Settings::new(endpoints, prefix)
+        }
+    }
 }
 
 /// One document.
