Gossip: who is suspected or dead is kept in two sets, so that next and tick don't walk over all

next, tick and the choice of a dead member to ask again looked at every member for each datagram and timer.

The sort of notes for each datagram and the search for a note are as before.

--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -20,6 +20,7 @@
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
+use std::collections::BTreeSet;
 
 /// Steps of local health: with each of them this doorman waits longer before it holds others to be silent.
 const HEALTH_STEPS: u32 = 8;
@@ -160,6 +161,9 @@
 pub struct Gossip {
     config: Config,
     members: Vec<Member>,
+    /// Those of them under suspicion, and those held dead: few, so that no datagram costs a walk over all.
+    suspects: BTreeSet<MemberId>,
+    dead: BTreeSet<MemberId>,
     leaving: bool,
     order: Vec<MemberId>,
     next_period: Time,
@@ -186,6 +190,8 @@
         let mut gossip = Gossip {
             config,
             members,
+            suspects: BTreeSet::new(),
+            dead: BTreeSet::new(),
             leaving: false,
             order: Vec::new(),
             next_period: now,
@@ -235,7 +241,7 @@
     pub fn next(&self) -> Time {
         let late = self.probe.as_ref().filter(|p| !p.answered).map(|p| p.late);
         let relays = self.relays.iter().map(|r| r.until);
-        let ends = (0..self.config.members).filter_map(|m| self.ends(m));
+        let ends = self.suspects.iter().filter_map(|&m| self.ends(m));
         late.into_iter().chain(relays).chain(ends).chain(self.notes.extra()).fold(self.next_period, Time::min)
     }
 
@@ -251,10 +257,9 @@
             self.send(now, relay.asker, Kind::Nack(relay.their_seq), actions);
         }
         self.ask_others(now, actions);
-        for member in 0..self.config.members {
-            if self.ends(member).is_some_and(|end| now >= end) {
-                self.hold(now, member, self.members[usize::from(member)].incarnation, State::Dead, actions);
-            }
+        let over = |&m: &MemberId| self.ends(m).is_some_and(|end| now >= end);
+        for member in self.suspects.iter().copied().filter(over).collect::<Vec<_>>() {
+            self.hold(now, member, self.members[usize::from(member)].incarnation, State::Dead, actions);
         }
         if now >= self.next_period {
             self.judge_probe(now, actions);
@@ -396,11 +401,17 @@
         }
         (held.incarnation, held.state) = (incarnation, state);
         held.suspicion = None;
+        self.suspects.remove(&member);
+        self.dead.remove(&member);
         self.counts.refuted += u64::from(was == State::Suspect && state == State::Alive);
         self.counts.suspected += u64::from(state == State::Suspect);
         self.counts.died += u64::from(state == State::Dead);
         if state == State::Suspect {
             held.suspicion = Some(Suspicion { since: now, accusers: Vec::new() });
+            self.suspects.insert(member);
+        }
+        if state == State::Dead {
+            self.dead.insert(member);
         }
         if state >= State::Dead {
             self.notes.forget(member);
@@ -468,8 +479,8 @@
 
     fn begin_probe(&mut self, now: Time, actions: &mut Vec<Action>) {
         // Those that are gone may be back, or were cut off: one of them is asked in each period too.
-        let gone = self.others(|m| m.state == State::Dead);
-        if let Some(&back) = gone.get(self.rng.random_range(0..gone.len().max(1))) {
+        let turn = self.rng.random_range(0..self.dead.len().max(1));
+        if let Some(back) = self.dead.iter().nth(turn).copied() {
             let seq = self.next_seq();
             self.send(now, back, Kind::Ping(seq), actions);
         }
