--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -57,6 +57,18 @@
     Ok(view::run(&scenario, &plan, seed).figures)
 }
 
+/// Followers of the purge log alone on an ordinary network: as [`follow_slope`], with a purge in place of each commit.
+pub fn purge_slope(size: usize, seed: u64, seconds: u64) -> Result<FollowFigures, ScaleError> {
+    let scenario = Scenario {
+        name: "purges".to_owned(),
+        seconds,
+        follow: Some(Follow { purge_log: true, ..Follow::default() }),
+        ..Scenario::default()
+    };
+    let plan = plan::Plan::new(&scenario, size, seed)?;
+    Ok(follow::run(&scenario, &plan, seed, |_| follow::PurgeReader::default()).figures)
+}
+
 /// Followers of documents alone on an ordinary network: `size` doormans (1 to 4,096) on 12 control machines, 20
 /// commits a second, `seconds` measured.
 pub fn follow_slope(size: usize, seed: u64, seconds: u64) -> Result<FollowFigures, ScaleError> {
--- a/crates/scale/src/loopback/processes.rs
+++ b/crates/scale/src/loopback/processes.rs
@@ -6,14 +6,16 @@
 use super::process::{Doorman, Taken};
 use super::tap::Tap;
 use super::{LoopbackError, CHANGES, PREFIX};
-use crate::capacity::target::{Sum, CHANGES_S, DEPOTS, LISTED_S, SHARDS};
+use crate::capacity::target::{Sum, CHANGES_S, DEPOTS, LISTED_S, PURGES, SHARDS};
 use crate::capacity::{Per, Quantity, Role, Row};
 use crate::slopes::documents::map;
 use crate::slopes::list::record_below;
 use crate::slopes::Effort;
+use larchdale::purges::log::append;
+use larchdale::purges::Cover;
 use larchdale_standins::registry::server::Registry;
 use std::path::Path;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// After its start a process is let be for so long.
 const SETTLES: Duration = Duration::from_secs(3);
@@ -41,6 +43,7 @@
     Nothing,
     Registry,
     Shards,
+    PurgeLog,
 }
 
 impl Watched {
@@ -50,7 +53,11 @@
         }
         let registry = registry()?;
         let tap = Tap::start(registry.addresses[0])?;
-        let call = if on == On::Registry { "registry" } else { "shards" };
+        let call = match on {
+            On::PurgeLog => "purge_log",
+            On::Registry => "registry",
+            _ => "shards",
+        };
         let script = format!("{call}(endpoints = [\"{}\"], prefix = \"{PREFIX}\")\n", tap.address);
         registry.with(|s| match on {
             On::Registry => {
@@ -61,7 +68,7 @@
                     s.put(&key, &value, 0);
                 }
             }
-            _ if size > 0 => {
+            On::Shards if size > 0 => {
                 let mut map = map(size, 1);
                 map.zone = 1;
                 s.put(format!("{PREFIX}map/1").as_bytes(), &map.encode(), 0);
@@ -106,6 +113,60 @@
     all.iter().zip(&before).map(one).collect()
 }
 
+/// A purge of one object is appended to a log.
+fn purge(registry: &Registry, head: &mut Option<Vec<u8>>, n: u64) {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
+    let object = Cover::Object(n.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+    let Ok((_, [last, entry])) = append(head.as_deref(), now, vec![object]) else { return };
+    registry.with(|s| s.put(format!("{PREFIX}{}", entry.0).as_bytes(), &entry.1, 0));
+    *head = Some(last.1);
+}
+
+/// Rows of processes with purge_log() on, by purges a second.
+fn purge_logs(program: &Path, effort: Effort, off: Spent) -> Result<Vec<Row>, LoopbackError> {
+    const RATES: [usize; 4] = [5, 20, 40, 80];
+    const TICKS: u32 = 80;
+    let span = Duration::from_secs(if effort.quick { 2 } else { 20 });
+    let all: Vec<Watched> =
+        RATES.iter().map(|&rate| Watched::start(program, On::PurgeLog, rate)).collect::<Result<_, _>>()?;
+    std::thread::sleep(SETTLES);
+    let calm = over(&all, span, None)?;
+    let before: Vec<(Taken, [u64; 4])> =
+        all.iter().map(|w| Ok((w.doorman.taken()?, w.counts()))).collect::<Result<_, LoopbackError>>()?;
+    let (began, mut n, mut heads) = (Instant::now(), 0u32, vec![None; all.len()]);
+    while began.elapsed() < span {
+        n += 1;
+        let next = began + Duration::from_secs(1) / TICKS * n;
+        std::thread::sleep(next.saturating_duration_since(Instant::now()));
+        for (w, head) in all.iter().zip(&mut heads) {
+            let due = |tick: u32| u64::from(tick) * w.size as u64 / u64::from(TICKS);
+            if let Some((registry, _)) = w.registry.as_ref().filter(|_| due(n) > due(n - 1)) {
+                purge(registry, head, due(n));
+            }
+        }
+    }
+    let spent = began.elapsed().as_secs_f64();
+    let mut points = [Vec::new(), Vec::new(), Vec::new()];
+    for ((w, (taken, counts)), calm) in all.iter().zip(&before).zip(&calm) {
+        let (now, passed) = (w.doorman.taken()?, w.counts());
+        let rate = w.size as f64;
+        points[0].push((rate, ((now.cpu_us - taken.cpu_us).max(0.0) / spent - off.cpu).max(0.0)));
+        points[1].push((rate, ((passed[0] - counts[0]) + (passed[2] - counts[2])) as f64 / spent));
+        points[2].push((rate, (calm.resident - off.resident).max(0.0)));
+    }
+    let row = |name: &str, quantity, points: &[(f64, f64)]| {
+        let mechanism = "src/purges/log.rs, PurgeLog; src/net/doorman/purge_log.rs";
+        let name = format!("a process with purge_log() on, {name}");
+        Row::new(Role::Purges, &name, quantity, Per::Purge, PURGES, points, mechanism)
+    };
+    let [cpu, bytes, resident] = points;
+    Ok(vec![
+        row("by purges a second, more than off", Quantity::CpuRate, &cpu).counts(Sum::DoormanCpu, 1.0, 1.0),
+        row("by purges a second, both ways, a second", Quantity::Bytes, &bytes),
+        row("more than off, before any purge", Quantity::Resident, &resident),
+    ])
+}
+
 /// All rows of real processes.
 ///
 /// # Errors
@@ -125,6 +186,7 @@
     rows.push(one("everything off", Quantity::Resident, base.resident).counts(Sum::DoormanMemory, 1.0, 1.0));
     rows.push(one("everything off", Quantity::CpuRate, base.cpu).counts(Sum::DoormanCpu, 1.0, 1.0));
     rows.push(one("everything off", Quantity::Descriptors, base.descriptors));
+    rows.extend(purge_logs(program, effort, base)?);
     for on in [On::Registry, On::Shards] {
         let (role, per, target, word, mechanism) = match on {
             On::Registry => (
--- a/crates/scale/src/slopes/mod.rs
+++ b/crates/scale/src/slopes/mod.rs
@@ -59,13 +59,14 @@
 pub type Part = (&'static str, fn(Effort) -> Vec<Row>);
 
 /// Processor time, bytes and messages, by role.
-pub const TIMES: [Part; 11] = [
+pub const TIMES: [Part; 12] = [
     ("view", view::times),
     ("followers in virtual time", follow::times),
     ("list", list::times),
     ("documents", documents::times),
     ("router", router::times),
     ("purges", purges::times),
+    ("followers of the purge log", purges::followers),
     ("judge", sites::times),
     ("plan", plan::times),
     ("planner of shards", placement::times),
--- a/crates/scale/src/slopes/purges.rs
+++ b/crates/scale/src/slopes/purges.rs
@@ -3,12 +3,14 @@
 use super::cost::{heap, Stopwatch};
 use super::router::Fed;
 use super::Effort;
-use crate::capacity::target::{Sum, PURGES};
+use crate::capacity::target::{Sum, CONTROL, DOORMANS, PURGED_WITHIN, PURGES, TRAFFIC};
 use crate::capacity::{Per, Quantity, Role, Row};
+use crate::FollowFigures;
 use larchdale::interface::Event;
 
-const MECHANISM: &str =
-    "src/purges/recent.rs, Recent, behind the command channel of the platform; for purges of our own: none";
+const MECHANISM: &str = "src/purges/recent.rs, Recent, behind the command channel or the purge log";
+/// Of what follows the log.
+const LOG: &str = "src/purges/log.rs, PurgeLog; src/net/doorman/purge_log.rs: each doorman's session straight to one of 12 machines";
 const S: u64 = 1_000_000;
 /// Microseconds for which the module keeps a purge: twice what [`Fed`] is told that copies linger for.
 const KEPT: u64 = 12 * S;
@@ -70,6 +72,50 @@
     ]
 }
 
+/// Followers of the purge log in virtual time, with 20 purges a second; the same each time.
+pub fn followers(effort: Effort) -> Vec<Row> {
+    let sizes = effort.sizes(&[100, 330, 1_000, 3_300], &[12, 24, 48, 96]);
+    let seconds = if effort.quick { 5 } else { 20 };
+    let mut all: Vec<(f64, FollowFigures)> = Vec::new();
+    for &size in sizes {
+        match crate::purge_slope(size, 1, seconds) {
+            Ok(figures) => all.push((size as f64, figures)),
+            Err(e) => {
+                eprintln!("followers of the purge log are left out: {e}");
+                return Vec::new();
+            }
+        }
+    }
+    let row = |name: &str, quantity, of: &dyn Fn(&FollowFigures) -> f64| {
+        let points: Vec<(f64, f64)> = all.iter().map(|(n, f)| (*n, of(f))).collect();
+        let name = format!("{name}, the log, virtual time");
+        Row::new(Role::Purges, &name, quantity, Per::Member, DOORMANS, &points, LOG)
+    };
+    vec![
+        row("one doorman, bytes", Quantity::BytesIn, &|f| f.down.bytes_per_s.median).limit(TRAFFIC).counts(
+            Sum::DoormanBytes,
+            1.0,
+            1.0,
+        ),
+        row("one doorman, bytes", Quantity::BytesOut, &|f| f.up.bytes_per_s.median).counts(
+            Sum::DoormanBytes,
+            1.0,
+            1.0,
+        ),
+        row("one of 12 machines, bytes", Quantity::BytesOut, &|f| f.control_out.bytes_per_s.most).counts(
+            Sum::ControlBytes,
+            CONTROL,
+            CONTROL,
+        ),
+        row("one of 12 machines, messages", Quantity::MessagesOut, &|f| f.control_out.messages_per_s.most),
+        row("one of 12 machines, the most calls in one second", Quantity::MessagesIn, &|f| {
+            f.control_calls_peak as f64
+        }),
+        row("a purge is in force at the last doorman", Quantity::Seconds, &|f| f.in_force_ms.most / 1e3)
+            .limit(PURGED_WITHIN),
+    ]
+}
+
 /// Bytes of those in force.
 pub fn heaps(effort: Effort) -> Vec<Row> {
     let points = effort.points(sizes(effort), |n| {
--- a/crates/scale/tests/checker.rs
+++ b/crates/scale/tests/checker.rs
@@ -9,6 +9,7 @@
 
 fn promises() -> Promises {
     Promises {
+        in_force_or_strict_ms: Some(1_300.0),
         in_force_ms: Some(1_000.0),
         caught_up_ms: Some(2_000.0),
         detection_ms: Some(5_000.0),
--- a/deploy/larchdale.star
+++ b/deploy/larchdale.star
@@ -30,5 +30,11 @@
 # What each shard newly wants is counted and forecast, and shards are split before they are full.
 # growth(box_mb = 200000, split_percent = 25, level_percent = 95)
 
+# Purges by a log in a registry, with bounded staleness; docs/operators/purges.md. Purge by: larchdale purge OBJECT...
+# purge_log(
+#     endpoints = ["10.0.0.1:2379", "10.0.0.2:2379", "10.0.0.3:2379"],
+#     prefix = "/larchdale/purges/",
+# )
+
 # Log lines for people, or one JSON object a line.
 log(form = "text")
--- a/src/registry/documents/mod.rs
+++ b/src/registry/documents/mod.rs
@@ -105,7 +105,8 @@
     /// `check`, another endpoint after `silence`, and short pauses between tries.
     pub fn prompt(endpoints: usize, prefix: &str, check: Time, silence: Time) -> Self {
         Settings {
-            page: 256,
+            // A page is a read of the present, which between regions takes tenths of a second: best one for all.
+            page: 1_024,
             dial: silence,
             answer: silence,
             check,
