--- a/crates/scale/src/slopes/follow.rs
+++ b/crates/scale/src/slopes/follow.rs
@@ -4,24 +4,30 @@
 use super::Effort;
 use crate::capacity::target::{CHANGED_WITHIN, DOORMANS, PURGED_WITHIN, TRAFFIC};
 use crate::capacity::{Per, Quantity, Role, Row};
-use crate::FollowFigures;
+use crate::{FollowFigures, ScaleError};
 
 const MECHANISM: &str =
     "src/registry/documents/mod.rs, Documents: each doorman's session straight to one of 12 machines";
 
-/// Messages, bytes and times; all of them are the same each time.
-pub fn times(effort: Effort) -> Vec<Row> {
+/// Runs of followers by size; none where one can't be run.
+pub(super) fn runs(
+    effort: Effort,
+    slope: fn(usize, u64, u64) -> Result<FollowFigures, ScaleError>,
+) -> Vec<(f64, FollowFigures)> {
     let sizes = effort.sizes(&[100, 330, 1_000, 3_300], &[12, 24, 48, 96]);
     let seconds = if effort.quick { 5 } else { 20 };
-    let mut all: Vec<(f64, FollowFigures)> = Vec::new();
-    for &size in sizes {
-        match crate::follow_slope(size, 1, seconds) {
-            Ok(figures) => all.push((size as f64, figures)),
-            Err(e) => {
-                eprintln!("followers in virtual time are left out: {e}");
-                return Vec::new();
-            }
-        }
+    let all = sizes.iter().map(|&size| Ok((size as f64, slope(size, 1, seconds)?)));
+    all.collect::<Result<_, ScaleError>>().unwrap_or_else(|e| {
+        eprintln!("followers in virtual time are left out: {e}");
+        Vec::new()
+    })
+}
+
+/// Messages, bytes and times; all of them are the same each time.
+pub fn times(effort: Effort) -> Vec<Row> {
+    let all = runs(effort, crate::follow_slope);
+    if all.is_empty() {
+        return Vec::new();
     }
     let row = |name: &str, quantity, of: &dyn Fn(&FollowFigures) -> f64| {
         let points: Vec<(f64, f64)> = all.iter().map(|(n, f)| (*n, of(f))).collect();
--- a/crates/scale/src/slopes/purges.rs
+++ b/crates/scale/src/slopes/purges.rs
@@ -74,17 +74,9 @@
 
 /// Followers of the purge log in virtual time, with 20 purges a second; the same each time.
 pub fn followers(effort: Effort) -> Vec<Row> {
-    let sizes = effort.sizes(&[100, 330, 1_000, 3_300], &[12, 24, 48, 96]);
-    let seconds = if effort.quick { 5 } else { 20 };
-    let mut all: Vec<(f64, FollowFigures)> = Vec::new();
-    for &size in sizes {
-        match crate::purge_slope(size, 1, seconds) {
-            Ok(figures) => all.push((size as f64, figures)),
-            Err(e) => {
-                eprintln!("followers of the purge log are left out: {e}");
-                return Vec::new();
-            }
-        }
+    let all = super::follow::runs(effort, crate::purge_slope);
+    if all.is_empty() {
+        return Vec::new();
     }
     let row = |name: &str, quantity, of: &dyn Fn(&FollowFigures) -> f64| {
         let points: Vec<(f64, f64)> = all.iter().map(|(n, f)| (*n, of(f))).collect();
--- a/src/net/doorman/tests.rs
+++ b/src/net/doorman/tests.rs
@@ -415,7 +415,7 @@
 }
 
 #[test]
-fn what_waits_behind_a_dial_is_not_written_after_a_purge_or_a_drain() {
+fn what_waits_behind_a_dial_is_not_written_after_a_purge_or_a_drain_or_once_nothing_can_be_vouched_for() {
     let purge = |d: &mut Doorman| {
         let what = Purge::Object(0x7f3a9c21e0b4d655);
         d.command(Command::Purge { what, when_ms: 1 });
@@ -424,7 +424,7 @@
         let entry = d.membership.entry(CACHE).unwrap().clone();
         d.membership.put(d.now, Entry { listed: Listed::Draining, ..entry }).unwrap();
     };
-    for change in [purge as fn(&mut Doorman), drain] {
+    for change in [purge as fn(&mut Doorman), drain, purge_log::cut_off] {
         let mut w = World::new();
         let mut client = w.client();
         client.put(&request(1, 1, "clip"));
--- a/src/net/doorman/tests/purge_log.rs
+++ b/src/net/doorman/tests/purge_log.rs
@@ -5,26 +5,12 @@
 use crate::purges::log::Settings;
 
 /// Switches a log on whose registry nobody reaches.
-fn cut_off(doorman: &mut Doorman) {
+pub(super) fn cut_off(doorman: &mut Doorman) {
     let endpoints = vec!["127.0.0.1:9".parse().unwrap()];
     let purge_log = Some(Settings::new(endpoints, "/purges/"));
     doorman.meet_fleet(&Product { purge_log, ..Product::default() }, 1).unwrap();
 }
 
-#[test]
-fn what_waits_behind_a_dial_is_not_written_once_nothing_can_be_vouched_for() {
-    let mut w = World::new();
-    let mut client = w.client();
-    client.put(&request(1, 1, "clip"));
-    w.until("the dial", |d| (d.pool.len() == 1).then_some(()));
-    cut_off(&mut w.doorman);
-    assert_eq!(w.frame(&mut client).2[0], 50);
-    assert_eq!(w.codes(), [(Code::NeverSent, false)]);
-    let mut cache = w.cache();
-    w.silent(&mut cache);
-    assert_eq!(w.doorman.figures.dropped, 1);
-}
-
 #[test]
 fn what_is_asked_while_nothing_can_be_vouched_for_names_the_bound_as_the_oldest_age() {
     let mut w = World::new();
