--- a/src/logic.rs
+++ b/src/logic.rs
@@ -4,6 +4,9 @@
 //! Aging State Information" (2015), eq. 24 with alpha 0: a request names as oldest copy accepted the fresh
 //! time plus gamma1 x i tenths of the grace. A hash of the object picks the cache, another the parent.
 
+#[cfg(test)]
+mod tests;
+
 use crate::guidance::{Account, Guide, Mean};
 use crate::interface::*;
 use crate::purges::recent::Recent;
@@ -186,6 +189,9 @@
     guide: Guide,
     /// The least that any location's link has shown so far for each of its caches, in KB a second.
     least: Option<f64>,
+    /// Servers looked at, one for each look.
+    #[cfg(test)]
+    looks: std::cell::Cell<u64>,
 }
 
 impl Router {
@@ -342,6 +348,8 @@
     }
 
     fn weight(&self, s: &Server) -> f64 {
+        #[cfg(test)]
+        self.looks.set(self.looks.get() + 1);
         self.told(&s.member).unwrap_or(1.0)
     }
 
@@ -368,6 +376,8 @@
 
     /// The work of the objects that a cache comes first for, lately.
     fn load(&self, s: usize) -> f64 {
+        #[cfg(test)]
+        self.looks.set(self.looks.get() + 1);
         let server = &self.servers[s];
         server.load * (-(self.now.saturating_sub(server.loaded) as f64) / LOAD_SPAN).exp()
     }
@@ -460,6 +470,8 @@
     /// tells of the others: they have one limit, and are counted together.
     fn like(&self, s: usize) -> Vec<usize> {
         let all = Some(self.serving(Role::Parent)).filter(|p| self.untold(s) && p.contains(&s));
+        #[cfg(test)]
+        self.looks.set(self.looks.get() + all.map_or(0, <[usize]>::len) as u64);
         all.map_or(vec![s], <[usize]>::to_vec)
     }
 
@@ -471,6 +483,8 @@
 
     /// Requests under way at a server, or through it, on average of late.
     fn usual(&self, s: usize) -> f64 {
+        #[cfg(test)]
+        self.looks.set(self.looks.get() + 1);
         let server = &self.servers[s];
         let old = (-(self.now.saturating_sub(server.counted) as f64) / OUT_SPAN).exp();
         server.usual * old + f64::from(server.out) * (1.0 - old)
@@ -501,6 +515,8 @@
     /// What a server can send, in transfers at full pace; guessed from the links where it is not told:
     /// parents are built to carry all locations with one of them lost.
     fn size(&self, s: usize) -> f64 {
+        #[cfg(test)]
+        self.looks.set(self.looks.get() + 1);
         let (member, set, peers) =
             (&self.servers[s].member, &self.settings, self.serving(Role::Parent).len());
         let guess = match member.role {
--- /dev/null
+++ b/src/logic/tests.rs
@@ -0,0 +1,111 @@
+//! How the work of one event grows with the list of servers: looks are counted, no clock is read.
+
+use super::*;
+
+const MS: Time = 1_000;
+const S: Time = 1_000_000;
+/// The larger list is this many times the smaller.
+const TIMES: usize = 8;
+/// What is constant in an event, or grows by the logarithm, may add this much to the work at the smaller size.
+const SLACK: u64 = 64;
+
+fn settings(weights_are_sizes: bool) -> Settings {
+    let start = ColdStart { share: 0.2, ramp: 18 * S, multiple: 2.0 };
+    let class = Class {
+        fresh: 20 * S,
+        grace: 10 * S,
+        uncacheable: false,
+        aim: 400 * MS,
+        aim_stretch: 2.0,
+        effect: Effect::Safe,
+        group: Group::All,
+        window: 2 * S,
+    };
+    Settings {
+        zone: 0,
+        routers: 4,
+        processes: 1,
+        routers_by_zone: vec![4],
+        classes: vec![class],
+        pace_kb_s: 1000.0,
+        link_kb_s: vec![20_000.0],
+        weights_are_sizes,
+        cache_start: start.clone(),
+        parent_start: start,
+        fall_window: S,
+        purge_done: 6 * S,
+        direct: true,
+        can_join: true,
+        detail: Detail::Hits,
+        max_attempts: 4,
+        may_cancel: true,
+        retry_after: true,
+        max_retry_after: S,
+        must_watch: false,
+    }
+}
+
+/// Every tenth is a parent, the last is the origin.
+fn member(n: usize, all: usize) -> Member {
+    let role = match n {
+        _ if n + 1 == all => Role::Origin,
+        _ if n % 10 == 9 => Role::Parent,
+        _ => Role::Cache,
+    };
+    let id = format!("s-{n:08x}").into();
+    Member { id, role, listed: Listed::Healthy, zone: 0, cell: 0, kind: 0, weight: 20.0, started: 0 }
+}
+
+fn request(number: u64) -> Request {
+    let id = format!("{number:016x}").into();
+    Request { id, class: 0, object: number, part: 0, group: 1, budget: 3 * S, size_kb: 100.0 }
+}
+
+/// The most looks that one event of each kind takes: a request with its answer, and a change of one record.
+fn work(servers: usize, weights_are_sizes: bool) -> (u64, u64) {
+    let mut router = Router::new(settings(weights_are_sizes), 7);
+    let mut actions = Vec::new();
+    let members = (0..servers).map(|n| member(n, servers)).collect();
+    let mut now = 100 * S;
+    router.handle(now, Event::Members { complete: true, members }, &mut actions);
+    let (mut by_request, mut by_change) = (0, 0);
+    for number in 0..20 {
+        now += 10 * MS;
+        actions.clear();
+        router.looks.set(0);
+        let request = request(number);
+        let id = request.id.clone();
+        router.handle(now, Event::Request(request), &mut actions);
+        let outcome = Outcome {
+            request: id,
+            attempt: 0,
+            code: Code::Served,
+            last: true,
+            took: 20 * MS,
+            fill_wait: 0,
+            note: Note::Hit,
+            report: None,
+        };
+        router.handle(now, Event::Outcome(outcome), &mut actions);
+        by_request = by_request.max(router.looks.get());
+        router.looks.set(0);
+        let mut changed = member(number as usize, servers);
+        changed.listed = if number % 2 == 0 { Listed::Draining } else { Listed::Healthy };
+        router.handle(now, Event::Members { complete: false, members: vec![changed] }, &mut actions);
+        by_change = by_change.max(router.looks.get());
+    }
+    (by_request, by_change)
+}
+
+/// A router of a fleet with sixteen times the servers has the same traffic: no walk over the list inside another.
+/// Seen failing where each server that fits was weighed against sums over all, and each parent looked through all.
+#[test]
+fn the_work_of_a_request_and_of_a_change_does_not_grow_with_the_square_of_the_list() {
+    for weights_are_sizes in [true, false] {
+        let (few, many) = (work(100, weights_are_sizes), work(100 * TIMES, weights_are_sizes));
+        for (what, few, many) in [("request", few.0, many.0), ("change", few.1, many.1)] {
+            let most = (few + SLACK) * TIMES as u64;
+            assert!(few > 0 && many <= most, "{what}: {few} looks at 100 servers, {many} at {TIMES} times as many");
+        }
+    }
+}
