Routing: sums over the list once a request, not once a server; slow start is a module

Cause: keeper() asked bounded() for each server that fits, and bounded() summed weight and decayed load (an exp each) over the whole order; members() looked through all parents for each parent, and through all open requests for each free place. Slow start's budget stands in logic/slow_start.rs.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -4,13 +4,14 @@
 //! Aging State Information" (2015), eq. 24 with alpha 0: a request names as oldest copy accepted the fresh
 //! time plus gamma1 x i tenths of the grace. A hash of the object picks the cache, another the parent.
 
+mod slow_start;
 #[cfg(test)]
 mod tests;
 
 use crate::guidance::{Account, Guide, Mean};
 use crate::interface::*;
 use crate::purges::recent::Recent;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Tenths of the grace for each request under way above what chance makes of the average. The paper has 3.
@@ -66,8 +67,6 @@
 const RETRY_EARNED: f64 = 0.2;
 /// Most retry tokens saved: one short blow to all that a router has under way.
 const RETRY_SAVED: f64 = 20.0;
-/// Share of what the rule allows that a cold server is sent: chance, rough sizes and late lists need room.
-const COLD_SHARE: f64 = 0.5;
 /// Size, in transfers at full pace, of a server of which nothing is known: the least worth its name.
 const LEAST_SIZE: f64 = 2.0;
 /// Least part of a server, in transfers: for tens of thousands of routers, and yet used now and then.
@@ -258,24 +257,25 @@
 
     fn members(&mut self, complete: bool, members: Vec<Member>) {
         // Machines come and go: the place of one that is gone and that nothing refers to is used again.
-        let tried = |o: &Open, s| o.tried.contains(&s) || o.bad_sources.contains(&s);
-        let refers = |o: &Open, s| tried(o, s) || o.ran.is_some_and(|r| r.1 == s);
+        let tried = |o: &Open| [&o.tried[..], &o.bad_sources].concat();
+        let referred: BTreeSet<usize> =
+            self.open.values().flat_map(|o| tried(o).into_iter().chain(o.ran.map(|r| r.1))).collect();
         let gone = |s: &usize| self.servers[*s].member.listed == Listed::Gone && self.servers[*s].out == 0;
-        let mut free: Vec<usize> = (0..self.servers.len()).filter(gone).collect();
-        free.retain(|&s| !self.open.values().any(|o| refers(o, s)));
+        let mut free: BTreeSet<usize> =
+            (0..self.servers.len()).filter(|s| gone(s) && !referred.contains(s)).collect();
         if complete {
             self.servers.iter_mut().for_each(|s| s.member.listed = Listed::Gone);
         }
         for member in members {
             let Some(&index) = self.by_id.get(&member.id) else {
-                let place = free.pop().unwrap_or(self.servers.len());
+                let place = free.pop_last().unwrap_or(self.servers.len());
                 self.servers.resize_with(self.servers.len().max(place + 1), Server::default);
                 self.by_id.insert(member.id.clone(), place);
                 let old = std::mem::replace(&mut self.servers[place], Server::new(member, self.now));
                 self.by_id.remove(&old.member.id);
                 continue;
             };
-            free.retain(|&f| f != index);
+            free.remove(&index);
             let server = &mut self.servers[index];
             // A machine that starts anew has no record; what is under way there is still to end.
             if member.started > server.member.started {
@@ -296,13 +296,19 @@
             self.serving[list] = all.filter(|s| serves(&s.1.member)).map(|s| s.0).collect();
         }
         self.least = self.least_cache();
+        let least_limit = |list: &[usize]| {
+            let limits = list.iter().map(|&p| self.servers[p].limit).filter(|l| l.is_normal());
+            limits.reduce(f64::min)
+        };
+        let of_parents = least_limit(self.serving(Role::Parent));
         for s in self.serving.concat() {
             let (fair, sharing) = (self.fair(s), self.sharing(&self.servers[s].member));
             // Others may be idle, but the more of them share a server, the less: chance goes by the root.
             let first = fair + fair * (BURST / sharing.sqrt()).min(1.0);
             // Danger: a parent's limit guessed from nothing refuses what comes in time: late fills set it.
-            let set = self.like(s).into_iter().map(|p| self.servers[p].limit).filter(|l| l.is_normal());
-            let limit = set.reduce(f64::min).unwrap_or(if self.untold(s) { f64::INFINITY } else { first });
+            let own = Some(self.servers[s].limit).filter(|l| l.is_normal());
+            let limit =
+                if self.untold(s) { of_parents.unwrap_or(f64::INFINITY) } else { own.unwrap_or(first) };
             (self.servers[s].fair, self.servers[s].limit) = (fair, limit);
         }
     }
@@ -361,7 +367,8 @@
     /// The first in the order that keeps the item, else the nearest to keeping it. Each server has the same
     /// items in mind at every router; one that is late, or has more work than the others, keeps fewer.
     fn keeper(&self, order: &[usize], item: u64, fits: impl Fn(usize) -> bool) -> Option<usize> {
-        let share = |s: usize| (s, self.servers[s].share * self.bounded(s, order));
+        let total = self.total_load(order);
+        let share = |s: usize| (s, self.servers[s].share * self.bounded(s, total));
         let shares: Vec<(usize, f64)> = order.iter().copied().filter(|&s| fits(s)).map(share).collect();
         let best = shares.iter().map(|s| s.1).fold(f64::MIN_POSITIVE, f64::max);
         let parents = order.first().is_some_and(|&s| self.servers[s].member.role == Role::Parent);
@@ -382,14 +389,19 @@
         server.load * (-(self.now.saturating_sub(server.loaded) as f64) / LOAD_SPAN).exp()
     }
 
+    /// Summed load and weight of the caches of an order: taken once for each choice, not once for each cache.
+    fn total_load(&self, order: &[usize]) -> (f64, f64) {
+        let caches = || order.iter().filter(|&&s| self.servers[s].member.role == Role::Cache);
+        let weights = caches().map(|&s| self.weight(&self.servers[s])).sum();
+        (caches().map(|&s| self.load(s) + LOAD_PRIOR).sum(), weights)
+    }
+
     /// The part of its own objects that makes a fair share of the work.
-    fn bounded(&self, s: usize, order: &[usize]) -> f64 {
+    fn bounded(&self, s: usize, (load, weights): (f64, f64)) -> f64 {
         if self.servers[s].member.role != Role::Cache {
             return 1.0;
         }
-        let weights: f64 = order.iter().map(|&o| self.weight(&self.servers[o])).sum();
-        let all: f64 = order.iter().map(|&o| self.load(o) + LOAD_PRIOR).sum();
-        let fair = all * self.weight(&self.servers[s]) / weights.max(f64::MIN_POSITIVE);
+        let fair = load * self.weight(&self.servers[s]) / weights.max(f64::MIN_POSITIVE);
         (LOAD_BOUND * fair / (self.load(s) + LOAD_PRIOR)).min(1.0)
     }
 
@@ -477,6 +489,9 @@
 
     /// Requests under way on average of late at a server, or at each of those like it.
     fn used(&self, s: usize) -> f64 {
+        if !self.untold(s) {
+            return self.usual(s);
+        }
         let like = self.like(s);
         like.iter().map(|&p| self.usual(p)).sum::<f64>() / like.len() as f64
     }
@@ -499,9 +514,14 @@
     /// This router's part of what a server can do: its size, over the routers that may send to it.
     fn fair(&self, s: usize) -> f64 {
         let member = &self.servers[s].member;
-        let sum: f64 = self.serving(Role::Parent).iter().map(|&p| self.size(p)).sum();
-        let part = if sum / self.sharing(member) < FEW { FEW_PART } else { MISS_PART };
-        let size = if member.role == Role::Origin { part * sum } else { self.size(s) };
+        let size = match member.role {
+            Role::Cache | Role::Parent => self.size(s),
+            Role::Origin => {
+                let sum: f64 = self.serving(Role::Parent).iter().map(|&p| self.size(p)).sum();
+                let part = if sum / self.sharing(member) < FEW { FEW_PART } else { MISS_PART };
+                part * sum
+            }
+        };
         // Danger: a count far too large would leave a part that no average comes below again.
         (size.max(LEAST_SIZE) / self.sharing(member)).max(LEAST_PART)
     }
@@ -529,18 +549,6 @@
         self.told(member).unwrap_or(guess / set.pace_kb_s.max(1.0))
     }
 
-    /// The size of a cache by the location whose link is smallest for the caches listed there.
-    /// Danger: where caches are lost, the link shows the rest too large; other locations and the past do not.
-    fn least_cache(&self) -> Option<f64> {
-        let mut listed = vec![0.0; self.settings.link_kb_s.len()];
-        let caches = self.servers.iter().map(|s| &s.member).filter(|m| m.role == Role::Cache);
-        for member in caches.filter(|m| m.listed == Listed::Healthy) {
-            listed.get_mut(member.zone).into_iter().for_each(|n| *n += 1.0);
-        }
-        let sizes = self.settings.link_kb_s.iter().zip(listed).map(|(link, n)| link / LINK_PART / n);
-        sizes.chain(self.least).filter(|s| s.is_finite() && *s > 0.0).reduce(f64::min)
-    }
-
     /// More requests under way at a server, or through it, while answers are in time, fewer when late.
     fn room(&mut self, s: usize, in_time: bool, faster: f64) {
         let (now, out, usual) = (self.now, f64::from(self.servers[s].out), self.used(s));
@@ -585,47 +593,6 @@
         same && self.now < sent.saturating_add(class.window)
     }
 
-    /// Whether a server that started lately, or that the fleet's plans hold back, can take one more attempt.
-    /// Danger: sent more than a multiple of what it can do over a window, it falls over and stays down.
-    fn cold_room(&self, s: usize, open: &Open) -> bool {
-        let server = &self.servers[s];
-        let own = xxh3_64_with_seed(&server.key.to_le_bytes(), self.seed) as f64 / u64::MAX as f64;
-        let admitted = self.guide.admits(self.now, &server.member.id, open.work, own);
-        let Some(budget) = self.cold_budget(s).filter(|_| admitted) else { return admitted };
-        let (window, work) = (self.settings.fall_window, self.mean_work(open.request.class));
-        // Danger: told late, or started anew, all routers would have missed their turns and send at once.
-        let since = server.told.max(server.member.started.saturating_add(window));
-        server.sent.has_turn(self.now, window, budget, work, since, own)
-    }
-
-    /// Work this router may send to a cold server in one window; `None` where it is warm.
-    fn cold_budget(&self, s: usize) -> Option<f64> {
-        let server = &self.servers[s];
-        let start = match server.member.role {
-            Role::Cache => self.settings.cache_start,
-            Role::Parent => self.settings.parent_start,
-            Role::Origin => return None,
-        };
-        let window = self.settings.fall_window;
-        let age = self.now.saturating_sub(server.member.started).saturating_sub(window);
-        let cold = server.member.started > 0 && age < start.ramp;
-        let share = start.share + (1.0 - start.share) * age as f64 / start.ramp as f64;
-        let whole = self.low_size(server) * share * start.multiple * window as f64;
-        // Danger: a process before this one may just have spent a window's budget; this one has no record.
-        let lived = self.now.saturating_sub(self.started.unwrap_or(0)).clamp(1, window.max(1));
-        let part = lived as f64 / window.max(1) as f64 / f64::from(self.settings.processes.max(1));
-        cold.then(|| COLD_SHARE * whole * part / self.sharing(&server.member))
-    }
-
-    /// A low size. Danger: sizes guessed from reports of crowded peers pushed caches over.
-    fn low_size(&self, server: &Server) -> f64 {
-        let set = &self.settings;
-        let parent = server.member.role == Role::Parent;
-        let link = if parent { set.link_kb_s.get(set.zone).copied() } else { self.least };
-        let size = link.unwrap_or(0.0) / set.pace_kb_s.max(1.0);
-        self.told(&server.member).unwrap_or(size.max(LEAST_SIZE))
-    }
-
     fn mean_work(&self, class: usize) -> f64 {
         self.work.get(class).map(|w| w.value).filter(|&w| w > 0.0).unwrap_or(FIRST_WORK)
     }
--- a/src/logic/tests.rs
+++ b/src/logic/tests.rs
@@ -105,7 +105,10 @@
         let (few, many) = (work(100, weights_are_sizes), work(100 * TIMES, weights_are_sizes));
         for (what, few, many) in [("request", few.0, many.0), ("change", few.1, many.1)] {
             let most = (few + SLACK) * TIMES as u64;
-            assert!(few > 0 && many <= most, "{what}: {few} looks at 100 servers, {many} at {TIMES} times as many");
+            assert!(
+                few > 0 && many <= most,
+                "{what}: {few} looks at 100 servers, {many} at {TIMES} times as many"
+            );
         }
     }
 }
