--- a/src/net/clock.rs
+++ b/src/net/clock.rs
@@ -31,6 +31,14 @@
         self.start -= std::time::Duration::from_micros(span);
     }
 
+    /// A clock of a machine whose wall clock is off by so much.
+    #[cfg(test)]
+    pub fn start_off_by(milliseconds: i64) -> Self {
+        let right = Clock::start();
+        let unix_at_start = right.unix_at_start.saturating_add_signed(milliseconds.saturating_mul(1000));
+        Clock { unix_at_start, ..right }
+    }
+
     /// The Unix millisecond of a moment.
     pub fn unix_ms(&self, at: Time) -> u64 {
         (at + self.unix_at_start).saturating_sub(AT_START) / 1000
--- a/src/net/doorman/tests.rs
+++ b/src/net/doorman/tests.rs
@@ -3,8 +3,10 @@
 
 mod copies;
 mod crossings;
+mod owed;
 mod processes;
 mod purge_log;
+mod wall_clock;
 mod watch;
 
 use super::*;
@@ -86,6 +88,11 @@
 
     /// One whose configuration has a change.
     fn with(change: impl FnOnce(&mut serde_json::Value)) -> Self {
+        World::with_clock(Clock::start(), change)
+    }
+
+    /// The same by a clock of the test's.
+    fn with_clock(clock: Clock, change: impl FnOnce(&mut serde_json::Value)) -> Self {
         let bind = || StdListener::bind("127.0.0.1:0").unwrap();
         let (cache, origin, channel) = (bind(), bind(), bind());
         let entry = |id: &str, listener: &StdListener, kind: &str| {
@@ -103,7 +110,7 @@
         change(&mut config);
         let parsed = Config::parse(&config.to_string(), "test".into()).unwrap();
         let log = Logger::root(slog::Discard, slog::o!());
-        let doorman = Doorman::start(parsed, Clock::start(), log).unwrap();
+        let doorman = Doorman::start(parsed, clock, log).unwrap();
         for listener in [&cache, &origin, &channel] {
             listener.set_nonblocking(true).unwrap();
         }
