Clients: requests taken before a breach of the protocol are answered before the connection ends

Cause: refuse_client() ended the connection at once and left all that it had open, and client_ready() dropped what was whole before the breach in the same turn. A connection can now be deaf: what comes is dropped, what was taken is answered in its own time, then the error on stream 0 and the end. Requests that came in the turn of the breach are refused, never sent. The same holds for a message that is not whole in time. The model of a connection knows the new state.

--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -3,10 +3,14 @@
 //!
 //! ```text
 //! Dialing --connected--> Open --finish()--> Finishing --flushed, shut--> Lingering --peer ended--> Closed
-//!    |                    |                                                                          ^
-//!    +----failed----------+-----------------------ended, failed, refused, close()--------------------+
+//!    |                    | |                   ^                                                    ^
+//!    |                    | +-refused-> Deaf ---+ finish()                                           |
+//!    +----failed----------+-------------+---------ended, failed, close()-----------------------------+
 //! ```
 //!
+//! What the owner refuses makes the connection deaf: what comes is read and dropped, so that the peer's end is still
+//! seen, and what the owner writes goes out until it finishes the connection.
+//!
 //! A close over bytes that were not read resets the connection, and what the peer has not read yet is lost with it:
 //! the last answer. So [`Connection::finish`] writes all, shuts its own side and reads, to no effect, until the
 //! peer ends; who owns the connection closes it where that takes too long.
@@ -26,8 +30,8 @@
 const CHUNK: usize = 16 * 1024;
 /// Bytes read in one turn: then others have theirs.
 const TURN: usize = 128 * 1024;
-/// Bytes read to no effect from a peer that goes on after we have finished: more than all that it may have had
-/// under way when it could first see the end.
+/// Bytes read to no effect from a peer that goes on after we have finished, or have stopped hearing it: more than all
+/// that it may have had under way when it could first see the end.
 const DISCARDED: usize = 4 << 20;
 
 /// What carries the bytes: a socket, or in tests a script.
@@ -81,6 +85,8 @@
     Dialing,
     /// Both ways open.
     Open,
+    /// Both ways open, but what comes is dropped: the owner has refused it.
+    Deaf,
     /// What comes is not heard any more; shuts once all is written.
     Finishing,
     /// All is written and our side is shut; what comes is not heard. Closes once the peer ends.
@@ -187,7 +193,14 @@
 
     /// Whether there may be something to read that no event will tell of.
     pub fn has_unread(&self) -> bool {
-        self.unread && (self.is_open() && !self.paused || self.is_ending())
+        let reads = match self.state {
+            State::Open => !self.paused,
+            // Beyond that the peer waits; its end is still told.
+            State::Deaf => self.discarded <= DISCARDED,
+            State::Finishing | State::Lingering => true,
+            State::Dialing | State::Closed(_) => false,
+        };
+        self.unread && reads
     }
 
     /// Whether it is on its way to its end: what comes now is not heard.
@@ -223,13 +236,15 @@
         while self.has_unread() && left > 0 {
             match self.transport.read(&mut chunk) {
                 // Who says nothing more may still read: what is queued goes out first.
-                Ok(0) if self.state == State::Finishing => (self.unread, self.peer_ended) = (false, true),
+                Ok(0) if matches!(self.state, State::Deaf | State::Finishing) => {
+                    (self.unread, self.peer_ended) = (false, true);
+                }
                 Ok(0) if self.state == State::Lingering => return self.end(Closed::Ours),
                 Ok(0) => return self.end(Closed::Lost),
-                Ok(n) if self.is_ending() => {
+                Ok(n) if self.state == State::Deaf || self.is_ending() => {
                     self.discarded += n;
                     left = left.saturating_sub(n);
-                    if self.discarded > DISCARDED {
+                    if self.discarded > DISCARDED && self.is_ending() {
                         return self.end(Closed::Ours);
                     }
                 }
@@ -238,9 +253,9 @@
                     self.heard = now;
                     left = left.saturating_sub(n);
                     if callbacks.received(&mut self.inbox).is_err() {
-                        // The owner may still queue word of it; the next flush shuts.
+                        // The owner may still write what it owes, and word of it, before it finishes.
                         self.inbox.clear();
-                        self.state = State::Finishing;
+                        self.state = State::Deaf;
                     }
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => self.unread = false,
@@ -255,7 +270,8 @@
 
     /// Queues bytes; [`Connection::flush`] writes them. What is closed takes nothing.
     pub fn queue(&mut self, bytes: Vec<u8>) {
-        if matches!(self.state, State::Dialing | State::Open | State::Finishing) && !bytes.is_empty() {
+        let takes = matches!(self.state, State::Dialing | State::Open | State::Deaf | State::Finishing);
+        if takes && !bytes.is_empty() {
             self.queued += bytes.len() as u64;
             self.outbox.push_back(bytes);
         }
@@ -263,7 +279,7 @@
 
     /// Writes what can be written now.
     pub fn flush(&mut self, now: Time) {
-        if !matches!(self.state, State::Open | State::Finishing) {
+        if !matches!(self.state, State::Open | State::Deaf | State::Finishing) {
             return;
         }
         while let Some(piece) = self.outbox.front() {
@@ -293,10 +309,28 @@
         }
     }
 
+    /// Drops what comes from now on; what is queued still goes out.
+    pub fn stop_hearing(&mut self) {
+        if self.state == State::Open {
+            self.state = State::Deaf;
+            self.inbox = BytesMut::new();
+        }
+    }
+
+    /// Whether what comes is dropped while what is queued still goes out.
+    pub fn is_deaf(&self) -> bool {
+        self.state == State::Deaf
+    }
+
+    /// Whether the peer has been seen to write nothing more, after its bytes were heard no more.
+    pub fn has_peer_ended(&self) -> bool {
+        self.peer_ended
+    }
+
     /// Hears no more, writes all, shuts its side and closes when the peer ends.
     pub fn finish(&mut self, now: Time) {
         match self.state {
-            State::Open => self.state = State::Finishing,
+            State::Open | State::Deaf => self.state = State::Finishing,
             State::Dialing => return self.end(Closed::Ours),
             State::Finishing | State::Lingering | State::Closed(_) => {}
         }
--- a/src/net/connection/tests.rs
+++ b/src/net/connection/tests.rs
@@ -16,6 +16,7 @@
     Queue(u8, usize),
     Flush,
     Pause(bool),
+    StopHearing,
     Finish,
     Close,
 }
@@ -32,6 +33,7 @@
         3 => (any::<u8>(), size()).prop_map(|(b, n)| Step::Queue(b, n)),
         2 => Just(Step::Flush),
         2 => any::<bool>().prop_map(Step::Pause),
+        1 => Just(Step::StopHearing),
         1 => Just(Step::Finish),
         1 => Just(Step::Close),
     ]
@@ -100,9 +102,10 @@
                         may_become = vec![State::Closed(Closed::NeverOpened)];
                     }
                     (State::Dialing, Some(true)) if readable || writable => {
-                        may_become = vec![State::Open, State::Finishing, State::Closed(Closed::Lost)];
+                        may_become = vec![State::Open, State::Deaf, State::Closed(Closed::Lost)];
                     }
-                    (State::Open, _) => may_become.extend([State::Finishing, State::Closed(Closed::Lost)]),
+                    (State::Open, _) => may_become.extend([State::Deaf, State::Closed(Closed::Lost)]),
+                    (State::Deaf, _) => may_become.push(State::Closed(Closed::Lost)),
                     // An error breaks it whatever its state; an end counts only once all is written.
                     (State::Finishing, _) if writable && !blocked => {
                         may_become =
@@ -115,7 +118,7 @@
                     }
                     _ => {}
                 }
-                if conn.state() == State::Finishing && before != State::Finishing {
+                if conn.state() == State::Deaf && before != State::Deaf {
                     assert!(owner.poisoned, "refused without a cause");
                 }
                 if conn.state() == State::Closed(Closed::Ours) && before != conn.state() {
@@ -136,17 +139,25 @@
                     _ => conn.finish(now),
                 }
                 may_become = match (before, step) {
-                    (State::Finishing, _) | (State::Open, Step::Finish) if blocked => vec![State::Finishing],
-                    (State::Finishing | State::Open, Step::Finish) | (State::Finishing, _) => {
+                    (State::Finishing, _) | (State::Open | State::Deaf, Step::Finish) if blocked => {
+                        vec![State::Finishing]
+                    }
+                    (State::Finishing | State::Open | State::Deaf, Step::Finish) | (State::Finishing, _) => {
                         vec![if conn.peer_ended { State::Closed(Closed::Ours) } else { State::Lingering }]
                     }
                     (State::Dialing, Step::Finish) => vec![State::Closed(Closed::Ours)],
                     _ => may_become,
                 };
-                if !blocked && matches!(before, State::Open | State::Finishing) {
+                if !blocked && matches!(before, State::Open | State::Deaf | State::Finishing) {
                     assert_eq!(wire.borrow().taken.len(), queued.len(), "room was left unused");
                 }
             }
+            Step::StopHearing => {
+                conn.stop_hearing();
+                if before == State::Open {
+                    may_become = vec![State::Deaf];
+                }
+            }
             Step::Close => {
                 conn.close();
                 if !matches!(before, State::Closed(_)) {
--- a/src/net/doorman.rs
+++ b/src/net/doorman.rs
@@ -134,6 +134,8 @@
     /// Since when a message that is not whole is awaited: from its first byte, the first one from the start.
     awaited: Option<Time>,
     used: Time,
+    /// Why nothing more is heard of it: said, as the last thing, once all that it has open is answered.
+    refused: Option<Malformed>,
 }
 
 impl Client {
--- a/src/net/doorman/clients.rs
+++ b/src/net/doorman/clients.rs
@@ -14,13 +14,13 @@
 
 impl Client {
     /// Looks through what one turn has brought before any of it is acted on, and takes out what was taken back
-    /// within it. An error ends the connection, and nothing of this turn goes on to anybody.
+    /// within it. With an error comes what was sound before it.
     /// Guards the depots, and all who share them, from requests that nobody waits for or that can't be used.
     fn screen(
         &mut self,
         messages: Vec<ClientMessage>,
         fits: impl Fn(&Ask) -> Result<(), Malformed>,
-    ) -> Result<Vec<ClientMessage>, Malformed> {
+    ) -> (Vec<ClientMessage>, Option<Malformed>) {
         let mut sound: Vec<ClientMessage> = Vec::with_capacity(messages.len());
         let mut new: FxHashMap<u32, usize> = FxHashMap::default();
         let mut left: FxHashSet<u32> = FxHashSet::default();
@@ -33,30 +33,38 @@
                     let known = begun && left.insert(*stream);
                     open -= usize::from(known);
                     self.taken_back += u32::from(known);
-                    if self.taken_back > TAKEN_BACK {
-                        return Err(Malformed("requests taken back again and again"));
-                    }
                     if let Some(at) = new.remove(stream) {
                         // Only a mark now, so that the places of the others stay right.
                         sound[at] = ClientMessage::Forget { stream: 0 };
                     }
+                    if self.taken_back > TAKEN_BACK {
+                        sound.push(message);
+                        return (sound, Some(Malformed("requests taken back again and again")));
+                    }
                 }
                 ClientMessage::Request { stream, ask } => {
-                    if *stream <= self.last_stream {
-                        return Err(Malformed("stream used before"));
+                    if let Err(e) = self.takes_stream(*stream, open).and_then(|()| fits(ask)) {
+                        return (sound, Some(e));
                     }
-                    self.last_stream = *stream;
                     open += 1;
-                    if open > STREAMS {
-                        return Err(Malformed("too many open requests"));
-                    }
-                    fits(ask)?;
                     new.insert(*stream, sound.len());
                 }
             }
             sound.push(message);
         }
-        Ok(sound)
+        (sound, None)
+    }
+
+    /// Takes the number of a new request's stream, where so many are open.
+    fn takes_stream(&mut self, stream: u32, open: usize) -> Result<(), Malformed> {
+        if stream <= self.last_stream {
+            return Err(Malformed("stream used before"));
+        }
+        self.last_stream = stream;
+        if open >= STREAMS {
+            return Err(Malformed("too many open requests"));
+        }
+        Ok(())
     }
 }
 
@@ -107,6 +115,7 @@
                         taken_back: 0,
                         awaited: Some(self.now),
                         used: self.now,
+                        refused: None,
                     };
                     self.clients.insert(token, client);
                 }
@@ -195,6 +204,9 @@
     /// Requests that come now find the end, and are sent again elsewhere.
     pub(super) fn end_client(&mut self, token: Token) {
         let Some(client) = self.clients.get_mut(&token) else { return };
+        if let Some(why) = client.refused.take() {
+            client.conn.queue(frames::error(&why));
+        }
         client.conn.finish(self.now);
         for (_, id) in std::mem::take(&mut client.open) {
             self.client_left(id);
@@ -244,7 +256,7 @@
         };
         let mute: Vec<Token> = self.clients.iter().filter(|c| mute(c.1)).map(|c| *c.0).collect();
         for token in mute {
-            self.refuse_client(token, &Malformed("no whole message in time"));
+            self.refuse_client(token, Malformed("no whole message in time"));
         }
     }
 
@@ -266,17 +278,23 @@
         if left {
             return self.drop_client(token);
         }
-        let sound = match inbound.error {
-            Some(e) => Err(e),
-            None => client.screen(inbound.messages, |ask| {
-                let named = self.classes.named(self.now, &ask.route);
-                fits(ask, &self.settings, named, self.classes.took_no_key(self.now, &ask.route))
-            }),
-        };
-        let messages = match sound {
-            Ok(messages) => messages,
-            Err(e) => return self.refuse_client(token, &e),
-        };
+        let (messages, breach) = client.screen(inbound.messages, |ask| {
+            let named = self.classes.named(self.now, &ask.route);
+            fits(ask, &self.settings, named, self.classes.took_no_key(self.now, &ask.route))
+        });
+        if let Some(e) = breach.or(inbound.error) {
+            self.turn_away(token, messages);
+            self.refuse_client(token, e);
+        } else {
+            self.client_messages(token, messages);
+        }
+        let Some(client) = self.clients.get(&token) else { return };
+        if client.conn.is_deaf() && (event.ended || client.conn.has_peer_ended()) {
+            self.end_client(token);
+        }
+    }
+
+    fn client_messages(&mut self, token: Token, messages: Vec<ClientMessage>) {
         for message in messages {
             self.client_message(token, message);
             // One request after the other: each is decided on what is known after the one before it.
@@ -413,6 +431,7 @@
         let Some(client) = self.clients.get_mut(&token) else { return };
         match client.conn.state() {
             State::Closed(_) => self.drop_client(token),
+            State::Deaf if client.open.is_empty() => self.end_client(token),
             _ => {
                 let backlog = client.conn.backlog();
                 if backlog > HIGH_WATER {
@@ -427,12 +446,36 @@
         }
     }
 
-    fn refuse_client(&mut self, token: Token, why: &Malformed) {
+    /// Answers what came in the turn in which its client broke the protocol. Its requests were taken, so each is owed
+    /// an answer; none is worth an attempt.
+    fn turn_away(&mut self, token: Token, messages: Vec<ClientMessage>) {
+        for message in messages {
+            match message {
+                ClientMessage::Request { stream, ask } => {
+                    let counted = self.counts.class(&ask.route);
+                    self.counts.took();
+                    self.counts.ended(counted, End::Overload);
+                    self.figures.requests += 1;
+                    let Some(client) = self.clients.get_mut(&token) else { return };
+                    client.conn.queue(frames::answer(stream, &Reply::Refused { pause_ms: 0 }));
+                }
+                other => self.client_message(token, other),
+            }
+        }
+    }
+
+    /// Hears no more of a client that broke the protocol. What was taken of it before is still answered, each request
+    /// in its own time; then it is told, and its connection ends.
+    /// Guards the rule that a request once taken is lost if its connection ends with no answer.
+    fn refuse_client(&mut self, token: Token, why: Malformed) {
         self.figures.bad_clients += 1;
-        warn!(self.log, "client refused"; "why" => %why);
+        warn!(self.log, "client refused"; "why" => %why, "open" => self.clients.get(&token).map(|c| c.open.len()));
         let Some(client) = self.clients.get_mut(&token) else { return };
-        client.conn.queue(frames::error(why));
-        self.end_client(token);
+        client.conn.stop_hearing();
+        client.awaited = None;
+        client.refused = Some(why);
+        client.conn.flush(self.now);
+        self.client_written(token);
     }
 
     pub(super) fn drop_client(&mut self, token: Token) {
--- a/src/net/feed.rs
+++ b/src/net/feed.rs
@@ -222,7 +222,7 @@
                 };
                 (framed || since(conn.heard) >= SILENCE).then_some(Dead::Silent)
             }
-            State::Finishing | State::Lingering | State::Closed(_) => Some(Dead::Lost),
+            State::Deaf | State::Finishing | State::Lingering | State::Closed(_) => Some(Dead::Lost),
         }
     }
 
