Timestamps: no age, window or ramp rests on this machine's wall clock at the start

Cause: net/clock.rs took one offset from the monotonic to the wall clock at the start, and news.rs believed it for a depot's startedAtMs, a purge's when and a copy's minted; an hour ahead made a depot of now warm and a purge an hour old, an hour behind made copies of its own too young and kept a depot cold for an hour. timestamps.rs judges each by the wall clock and by the timestamps that came so far, and the harmless one counts; a start keeps the moment it was first given, one that goes back or is too old for news is now. A purge voids own copies whatever dated them (copies::void compared two clocks' timestamps; its test asked that a copy dated later survive: it now asks that it go), and answers to attempts sent before a purge was told are not kept. The hand-over's file tells when it was written. purges_in_force_go_along_with_their_age trusted the wall clock of both processes; it now steps the second one by an hour and lets 3 s pass.

--- a/crates/scale/src/slopes/copies.rs
+++ b/crates/scale/src/slopes/copies.rs
@@ -46,7 +46,7 @@
     });
     let void = effort.points(sizes(effort), |n| {
         let (mut copies, mut watch) = (kept(n), Stopwatch::new());
-        (0..200u64).for_each(|k| watch.time(|| copies.void(Some(1 << 40 | k), k % 97, 3 * S)));
+        (0..200u64).for_each(|k| watch.time(|| copies.void(Some(1 << 40 | k), k % 97)));
         watch.us_each()
     });
     vec![
--- a/src/copies/mod.rs
+++ b/src/copies/mod.rs
@@ -188,10 +188,10 @@
         self.kept.put(key, copy);
     }
 
-    /// Copies of an object, or of a whole group, from before `at` are void. What comes later and is older still
-    /// must not be kept: that the driver sees to, which knows the purges in force.
-    pub fn void(&mut self, object: Option<u64>, group: u64, at: Time) {
-        let voided = |k: &Key, c: &Copy| object.map_or(c.group == group, |o| k.1 == o) && c.minted <= at;
+    /// Copies of an object, or of a whole group, are void. What comes later and is older still must not be kept: that
+    /// the driver sees to, which knows the purges in force.
+    pub fn void(&mut self, object: Option<u64>, group: u64) {
+        let voided = |k: &Key, c: &Copy| object.map_or(c.group == group, |o| k.1 == o);
         let keys: Vec<Key> = self.kept.iter().filter(|(k, c)| voided(k, c)).map(|(k, _)| *k).collect();
         keys.iter().for_each(|k| self.remove(k));
     }
--- a/src/handover/mod.rs
+++ b/src/handover/mod.rs
@@ -158,6 +158,10 @@
     pub who: Identity,
     /// Purges in force: the object or the group, and the Unix millisecond of the purge.
     pub purges: Vec<(Option<u64>, u64, u64)>,
+    /// The Unix millisecond of the writing, by the clock that dated the purges; not told by earlier versions.
+    /// Guards their ages where the wall clock is stepped between two processes.
+    #[serde(default)]
+    pub written_ms: Option<u64>,
 }
 
 /// Why a file is not used.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod registry;
 pub mod settings;
 pub mod sites;
+pub mod timestamps;
 
 /// Compiles and runs the example of the README.
 #[cfg(doctest)]
--- a/src/net/doorman.rs
+++ b/src/net/doorman.rs
@@ -46,6 +46,7 @@
 use crate::registry::record::{self, Names};
 use crate::registry::session::{Started, Update};
 use crate::settings::{Classes, Document, Named};
+use crate::timestamps::{Heard, Timestamps};
 use crate::Router;
 use bytes::BytesMut;
 use mio::net::{TcpListener, TcpStream};
@@ -211,6 +212,8 @@
 pub struct Doorman {
     log: Logger,
     clock: Clock,
+    /// What Unix timestamps of others mean.
+    timestamps: Timestamps,
     now: Time,
     name: String,
     listen: SocketAddr,
@@ -239,6 +242,8 @@
     /// A failed accept will be tried again by a timer that is already set.
     accept_later: bool,
     membership: Membership,
+    /// Set once what held before the start is taken: what comes then is news.
+    started: bool,
     pool: Pool,
     requests: FxHashMap<Id, Open>,
     bodies: usize,
@@ -290,6 +295,7 @@
         let mut doorman = Doorman {
             now: clock.now(),
             log,
+            timestamps: clock.timestamps(),
             clock,
             name: config.name,
             listen: config.listen,
@@ -312,6 +318,7 @@
             clients: FxHashMap::default(),
             accept_later: false,
             membership: Membership::new(MOST_DEPOTS),
+            started: false,
             pool: Pool::new(config.settings.limits.multiplex, bounds.upstream, MOST_EACH, Time::MAX),
             requests: FxHashMap::default(),
             bodies: 0,
@@ -353,6 +360,7 @@
         for command in config.known {
             doorman.command(command);
         }
+        doorman.started = true;
         doorman.tend_registry();
         doorman.settle();
         for due in [Due::Sweep, Due::Figures] {
--- a/src/net/doorman/copies.rs
+++ b/src/net/doorman/copies.rs
@@ -51,11 +51,13 @@
         // Without both nothing tells which copy it is, and how old.
         let minted = answer.field("minted").and_then(|m| m.parse::<u64>().ok());
         let (Some(minted_ms), Some(tag)) = (minted, answer.field("tag")) else { return };
-        let later = |p: &(Time, Purge, u64)| p.2 >= minted_ms && voids(p.1, &open.ask);
+        // A purge that was told since the attempt was sent counts whatever the clocks said that dated the two.
+        let sent = open.attempt.as_ref().map_or(self.now, |a| a.sent);
+        let later = |p: &(Time, Purge, u64)| (p.2 >= minted_ms || p.0 >= sent) && voids(p.1, &open.ask);
         if self.purges.iter().any(later) {
             return;
         }
-        let (minted, group) = (self.clock.of_unix_ms(minted_ms), open.ask.batch);
+        let (minted, group) = (self.timestamps.copy(self.now, minted_ms), open.ask.batch);
         if self.purge_log().and_then(|l| l.floor()).is_some_and(|floor| minted <= floor) {
             return;
         }
@@ -63,12 +65,11 @@
         self.copies.keep(self.now, key, copy);
     }
 
-    /// What was purged is served from no copy here.
-    pub(super) fn void_copies(&mut self, what: Purge, when_ms: u64) {
-        let at = self.clock.of_unix_ms(when_ms);
+    /// What was purged is served from no copy here that came before the purge was told.
+    pub(super) fn void_copies(&mut self, what: Purge) {
         match what {
-            Purge::Object(object) => self.copies.void(Some(object), 0, at),
-            Purge::Group(group) => self.copies.void(None, group, at),
+            Purge::Object(object) => self.copies.void(Some(object), 0),
+            Purge::Group(group) => self.copies.void(None, group),
         }
     }
 
--- a/src/net/doorman/handover.rs
+++ b/src/net/doorman/handover.rs
@@ -177,10 +177,10 @@
         read.map_err(|e| warn!(log, "state of the process before not used"; "why" => %e)).ok()
     }
 
-    fn write_state(&self, purges: Vec<(Option<u64>, u64, u64)>, log: &Logger) {
+    fn write_state(&self, purges: Vec<(Option<u64>, u64, u64)>, written_ms: u64, log: &Logger) {
         let file = path(&self.folder, &self.who, "state");
         let new = file.with_extension(format!("state.{}", std::process::id()));
-        let state = State { who: self.who.clone(), purges };
+        let state = State { who: self.who.clone(), purges, written_ms: Some(written_ms) };
         let written = std::fs::write(&new, state.encode()).and_then(|()| std::fs::rename(&new, &file));
         if let Err(e) = written {
             let _ = (std::fs::remove_file(&new), std::fs::remove_file(&file));
@@ -331,7 +331,7 @@
             match side.offers.line(token, &line) {
                 Step::Offer => {
                     info!(self.log, "another process takes over");
-                    side.write_state(self.purges_in_force(), &self.log);
+                    side.write_state(self.purges_in_force(), self.timestamps.unix_ms(self.now), &self.log);
                     if !side.offer(token, &self.listener.1, &self.log) {
                         break;
                     }
@@ -368,6 +368,9 @@
         self.leave_connections();
         let Some(state) = self.handover.as_ref().and_then(|h| h.state(&self.log)) else { return };
         info!(self.log, "taking over"; "purges" => state.purges.len());
+        if let Some(written_ms) = state.written_ms {
+            self.timestamps.event(self.now, written_ms);
+        }
         for (object, group, when_ms) in state.purges {
             let what = object.map_or(Purge::Group(group), Purge::Object);
             self.command(Command::Purge { what, when_ms });
--- a/src/net/doorman/news.rs
+++ b/src/net/doorman/news.rs
@@ -224,7 +224,11 @@
                     Ok(())
                 }
                 Update::Put { id, depot, process, started } => {
-                    let told = self.clock.of_unix_ms(depot.started_ms);
+                    let heard = match started {
+                        Started::NowUnlessTold => Heard::AfterSilence(0),
+                        Started::Unsure | Started::AsTold => Heard::AtStart,
+                    };
+                    let told = self.timestamps.start(self.now, &id, depot.started_ms, heard);
                     let entry = Entry {
                         id,
                         address: depot.address,
@@ -268,13 +272,13 @@
             Command::Depots { .. } if self.registry.is_some() => {}
             Command::Depots { whole, records } => self.depots(whole, records),
             Command::Purge { what, when_ms } => {
-                let age = self.now.saturating_sub(self.clock.of_unix_ms(when_ms));
+                let age = self.now - self.timestamps.event(self.now, when_ms);
                 debug!(self.log, "purge"; "what" => ?what, "age_ms" => age / 1000);
                 if self.purges.len() >= crate::handover::MOST_PURGES {
                     self.purges.pop_front();
                 }
                 self.purges.push_back((self.now, what, when_ms));
-                self.void_copies(what, when_ms);
+                self.void_copies(what);
                 let (object, group) = match what {
                     Purge::Object(object) => (Some(object), 0),
                     Purge::Group(group) => (None, group),
@@ -287,12 +291,10 @@
     /// What the command channel lists, for the one list of depots.
     pub(super) fn depots(&mut self, whole: bool, records: Vec<Record>) {
         let now = self.now;
-        let entries = records.into_iter().map(|r| self.entry(r));
+        let entries: Vec<Entry> = records.into_iter().map(|r| self.entry(r)).collect();
         let taken = if whole {
-            let entries = entries.collect();
             self.membership.whole(now, entries)
         } else {
-            let entries: Vec<Entry> = entries.collect();
             entries.into_iter().try_for_each(|e| self.membership.put(now, e))
         };
         if let Err(e) = taken {
@@ -328,9 +330,15 @@
         let _ = self.live(Life::Listed(self.pool.is_listed()));
     }
 
-    fn entry(&self, record: Record) -> Entry {
+    fn entry(&mut self, record: Record) -> Entry {
+        let id: Id = record.id.as_str().into();
+        let heard = match self.started {
+            true => Heard::AfterSilence(self.feed.silence(self.now)),
+            false => Heard::AtStart,
+        };
+        let started = self.timestamps.start(self.now, &id, record.started_ms, heard);
         Entry {
-            id: record.id.as_str().into(),
+            id,
             address: record.address,
             listed: match record.state {
                 command_channel::State::Ready => Listed::Healthy,
@@ -342,7 +350,7 @@
             cell: record.cell,
             kind: record.kind as u32,
             weight: record.weight,
-            started: self.clock.of_unix_ms(record.started_ms),
+            started,
             process: 0,
         }
     }
--- a/src/net/doorman/tests.rs
+++ b/src/net/doorman/tests.rs
@@ -1346,13 +1346,15 @@
 fn purges_in_force_go_along_with_their_age() {
     let folder = std::env::temp_dir().join(format!("larchdale-{}-purges", std::process::id()));
     std::fs::create_dir_all(&folder).unwrap();
-    let (mut old, mut new) = (World::new(), World::new());
+    // The wall clock was stepped by an hour before the next process started.
+    let (mut old, mut new) = (World::new(), World::with_clock(Clock::start_off_by(3_600_000), |_| {}));
     let who = Identity { name: "t".into(), listen: old.doorman.listen };
     let side = Handover::new(folder.clone(), who.clone(), None, false, &mut old.doorman.event_loop);
     old.doorman.handover = Some(side);
     old.doorman.take_over();
-    let when_ms = std::time::UNIX_EPOCH.elapsed().unwrap().as_millis() as u64 - 3_000;
+    let when_ms = std::time::UNIX_EPOCH.elapsed().unwrap().as_millis() as u64;
     old.doorman.command(Command::Purge { what: Purge::Group(17), when_ms });
+    old.skip(3_000 * MS);
     let (place, asking, log) = (folder.clone(), who.clone(), old.doorman.log.clone());
     let asks = std::thread::spawn(move || handover::find(&place, &asking, &log).unwrap());
     old.until("the next process", |d| d.is_beside().then_some(()));
--- a/src/net/feed.rs
+++ b/src/net/feed.rs
@@ -18,6 +18,8 @@
 const PER_BYTE: Time = 10;
 /// Without a frame for so long there may be purges that have not come: a frame and some delay are missing.
 const CURRENT: Time = 1_200_000;
+/// After a silence, what was told in it has come after this.
+const CATCHES_UP: Time = 2_000_000;
 /// First pause before a new try, doubled with each that fails.
 const FIRST_PAUSE: Time = 100_000;
 /// Longest pause. What is told counts as heard after 7 s whether it came or not.
@@ -74,6 +76,9 @@
     retry_at: Time,
     /// When its connection last brought a frame.
     told: Option<Time>,
+    /// When any connection last did, and the last silence that was too long with the moment of its end.
+    last_frame: Option<Time>,
+    silence: (Time, Time),
     /// When its dial came through.
     opened: Option<Time>,
     /// The cursor from which what was missing has been asked for once.
@@ -95,6 +100,8 @@
             pause: FIRST_PAUSE,
             retry_at: 0,
             told: None,
+            last_frame: None,
+            silence: (0, 0),
             opened: None,
             asked_from: None,
             empties_differ: false,
@@ -164,6 +171,10 @@
     /// nothing. A whole list may jump: it says all that those before it said of depots.
     pub fn takes(&mut self, now: Time, numbered: &Numbered) -> Taken {
         self.told = Some(now);
+        let silence = now.saturating_sub(self.last_frame.replace(now).unwrap_or(now));
+        if silence > CURRENT {
+            self.silence = (silence, now);
+        }
         self.pause = FIRST_PAUSE;
         let number = numbered.0;
         // What `number` may be at most if nothing is missing before it.
@@ -200,6 +211,16 @@
         self.told.is_some_and(|t| now.saturating_sub(t) <= CURRENT)
     }
 
+    /// How long nothing had been heard before what comes now: some of what was told meanwhile may come only now.
+    pub fn silence(&self, now: Time) -> Time {
+        let (span, ended) = self.silence;
+        if now.saturating_sub(ended) <= CATCHES_UP {
+            span
+        } else {
+            0
+        }
+    }
+
     /// Whether there is more to read than one turn took.
     pub fn has_unread(&self) -> bool {
         self.link.as_ref().is_some_and(|l| l.1.has_unread())
