Start: what the system refuses for a moment is tried again, and signals are heard meanwhile

SIGTERM meanwhile ends the process in order; SIGHUP is kept. A hand-over's socket that can't be dialed for want of descriptors is no longer taken for no process.

--- a/src/lifecycle/mod.rs
+++ b/src/lifecycle/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! No input or output, no clock. The driver is `net/doorman/lifecycle.rs`.
 
+pub mod startup;
 #[cfg(test)]
 mod tests;
 
--- a/src/logic/tests.rs
+++ b/src/logic/tests.rs
@@ -30,7 +30,7 @@
         pace_kb_s: 1000.0,
         link_kb_s: vec![20_000.0],
         weights_are_sizes,
-        cache_start: start.clone(),
+        cache_start: start,
         parent_start: start,
         fall_window: S,
         purge_done: 6 * S,
--- a/src/net/doorman.rs
+++ b/src/net/doorman.rs
@@ -32,6 +32,7 @@
 use super::proto::frames::{self, ClientMessage};
 use super::proto::resp::{self, Answer, Word};
 use super::proto::{Ask, Malformed, Reply};
+use super::startup::persist;
 use crate::copies::Copies;
 use crate::handover::Identity;
 use crate::interface::{
@@ -208,6 +209,11 @@
     longest_turn: Time,
 }
 
+/// An error of the start with the step that it ended.
+fn failed(step: &str, error: &io::Error) -> io::Error {
+    io::Error::new(error.kind(), format!("{step}: {error}"))
+}
+
 /// The doorman.
 pub struct Doorman {
     log: Logger,
@@ -282,10 +288,16 @@
         log: Logger,
     ) -> io::Result<Self> {
         let who = Identity { name: config.name.clone(), listen: config.listen };
-        let mut found =
-            config.folder.as_deref().map(|f| handover::find(f, &who, &log)).transpose()?.flatten();
-        let (mut listener, shared) = Found::listener(&mut found, &config)?;
-        let token = event_loop.add(&mut listener, Interest::READABLE)?;
+        let flags = event_loop.flags();
+        let to_end = || flags.to_end();
+        let say = |e: &io::Error| warn!(log, "can't start yet, trying again"; "error" => %e);
+        let mut found = persist(&clock, &to_end, &say, || {
+            let found = config.folder.as_deref().map(|f| handover::find(f, &who, &log));
+            Ok(found.transpose()?.flatten())
+        })?;
+        let (mut listener, shared) = persist(&clock, &to_end, &say, || Found::listener(&mut found, &config))
+            .map_err(|e| failed(&format!("can't listen on {}", config.listen), &e))?;
+        let token = persist(&clock, &to_end, &say, || event_loop.add(&mut listener, Interest::READABLE))?;
         let mut classes = Classes::default();
         classes.adopt(clock.now(), &config.settings);
         let handover = config.folder.map(|f| Handover::new(f, who, found, shared, &mut event_loop));
@@ -294,7 +306,7 @@
         let bounds = Bounds::of(&config.limits, config.management.is_some(), beside);
         let mut doorman = Doorman {
             now: clock.now(),
-            log,
+            log: log.clone(),
             timestamps: clock.timestamps(),
             clock,
             name: config.name,
@@ -340,9 +352,10 @@
         };
         doorman.adopt_classes();
         if let Some(address) = config.management {
-            let door = Door::open(address, &mut doorman.event_loop);
-            let told = |e| io::Error::other(format!("the door for operators at {address}: {e}"));
-            doorman.door = Some(door.map_err(told)?);
+            let event_loop = &mut doorman.event_loop;
+            let door = persist(&clock, &to_end, &say, || Door::open(address, event_loop))
+                .map_err(|e| failed(&format!("the door for operators at {address}"), &e))?;
+            doorman.door = Some(door);
         }
         doorman.follow_limits();
         doorman.inherit();
--- a/src/net/doorman/handover.rs
+++ b/src/net/doorman/handover.rs
@@ -3,7 +3,9 @@
 
 use super::*;
 use crate::handover::{self, FromPredecessor, FromSuccessor, Identity, Offers, State, Step};
+use crate::lifecycle::startup::Cause;
 use crate::net::listener::listen;
+use crate::net::startup::cause;
 use mio::net::{UnixListener, UnixStream};
 use rustix::net::{
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
@@ -66,6 +68,8 @@
             warn!(log, "the process before takes nobody"; "error" => %e);
             return Ok(None);
         }
+        // Guards against two processes that don't know of each other: what fails for a moment is tried again.
+        Err(e) if cause(&e) == Cause::Resource => return Err(e),
         Err(e) => {
             // Nobody was before it, or who was left the name behind.
             debug!(log, "no process to take over from"; "why" => %e);
@@ -120,10 +124,7 @@
     pub(super) fn listener(this: &mut Option<Found>, config: &Config) -> io::Result<(TcpListener, bool)> {
         match this.as_mut().and_then(|f| f.listener.take()) {
             Some(listener) => Ok((listener, true)),
-            None => {
-                let told = |e| io::Error::other(format!("can't listen on {}: {e}", config.listen));
-                Ok((listen(config.listen, config.management.is_some()).map_err(told)?, false))
-            }
+            None => Ok((listen(config.listen, config.management.is_some())?, false)),
         }
     }
 }
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -96,10 +96,33 @@
     events: Events,
     next_token: usize,
     signals: UnixStream,
+    flags: Flags,
+}
+
+/// What signals have told: heard of from the first moment of a process on, before there is a loop.
+#[derive(Clone, Debug)]
+pub struct Flags {
     end: Arc<AtomicBool>,
     reload: Arc<AtomicBool>,
 }
 
+impl Flags {
+    /// Hears of SIGTERM, SIGINT and SIGHUP from now on.
+    pub fn register() -> io::Result<Self> {
+        use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+        let flags = Flags { end: Arc::default(), reload: Arc::default() };
+        for (signal, flag) in [(SIGTERM, &flags.end), (SIGINT, &flags.end), (SIGHUP, &flags.reload)] {
+            signal_hook::flag::register(signal, flag.clone())?;
+        }
+        Ok(flags)
+    }
+
+    /// Whether the process was told to end.
+    pub fn to_end(&self) -> bool {
+        self.end.load(Ordering::SeqCst)
+    }
+}
+
 /// What signals have told since the last look.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Told {
@@ -112,21 +135,30 @@
 impl EventLoop {
     /// A loop that hears of SIGTERM, SIGINT and SIGHUP.
     pub fn new() -> io::Result<Self> {
+        EventLoop::with(Flags::register()?)
+    }
+
+    /// A loop that is woken by the signals of these flags.
+    pub fn with(flags: Flags) -> io::Result<Self> {
         use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
         let poll = Poll::new()?;
         let (ours, theirs) = std::os::unix::net::UnixStream::pair()?;
         ours.set_nonblocking(true)?;
         theirs.set_nonblocking(true)?;
-        let (end, reload) = (Arc::<AtomicBool>::default(), Arc::<AtomicBool>::default());
-        for (signal, flag) in [(SIGTERM, &end), (SIGINT, &end), (SIGHUP, &reload)] {
-            // In this order: what was told is there to see by the time that the pipe wakes the loop.
-            signal_hook::flag::register(signal, flag.clone())?;
-            signal_hook::low_level::pipe::register(signal, theirs.try_clone()?)?;
+        let wakers = [(SIGTERM, theirs.try_clone()?), (SIGINT, theirs.try_clone()?), (SIGHUP, theirs)];
+        for (signal, waker) in wakers {
+            // After the flags: what was told is there to see by the time that the pipe wakes the loop.
+            signal_hook::low_level::pipe::register(signal, waker)?;
         }
         let mut signals = UnixStream::from_std(ours);
         poll.registry().register(&mut signals, SIGNALS, Interest::READABLE)?;
         let events = Events::with_capacity(EVENTS);
-        Ok(EventLoop { poll, events, next_token: FIRST_FREE, signals, end, reload })
+        Ok(EventLoop { poll, events, next_token: FIRST_FREE, signals, flags })
+    }
+
+    /// Whether the process was told to end, and that has not been taken yet.
+    pub fn flags(&self) -> Flags {
+        self.flags.clone()
     }
 
     /// Watches a socket under a token that was never used before, so that events of a closed one can't be
@@ -171,7 +203,7 @@
         let mut bytes = [0; 64];
         while matches!(self.signals.read(&mut bytes), Ok(n) if n > 0) {}
         let take = |flag: &AtomicBool| flag.swap(false, Ordering::SeqCst);
-        Told { end: take(&self.end), reload: take(&self.reload) }
+        Told { end: take(&self.flags.end), reload: take(&self.flags.reload) }
     }
 }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -11,6 +11,7 @@
 pub mod listener;
 pub mod pool;
 pub mod proto;
+pub mod startup;
 #[cfg(test)]
 pub(crate) mod testing;
 
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -99,6 +99,18 @@
         assert!(self.log.by_ref().lines().any(|l| l.unwrap().contains(text)), "never logged: {text}");
     }
 
+    /// Whether it listens before long, and is ready.
+    fn comes_up(&self) -> bool {
+        let began = std::time::Instant::now();
+        while began.elapsed() < HANG {
+            if TcpStream::connect(&self.listen).is_ok() {
+                return self.is_ready();
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        false
+    }
+
     fn is_ready(&self) -> bool {
         let mut client = self.connect();
         client.write_all(&[0, 0, 0, 6, 1, 0, 0, 0, 9, 0]).unwrap();
@@ -243,6 +255,66 @@
     assert!(program.is_ready());
 }
 
+/// Starts with as few descriptors as make one step after the other of a start fail, and gives more a moment later.
+/// Seen failing: it ended with status 2, "can't listen" among others.
+#[test]
+fn a_start_that_lacks_descriptors_for_a_moment_is_ready_once_there_are_some() {
+    use rustix::process::{getrlimit, prlimit, Pid, Resource, Rlimit};
+    let most = getrlimit(Resource::Nofile).maximum;
+    for few in 4..=14 {
+        let files = Scratch::new(&format!("few-{few}"));
+        let path = files.0.join("config.json");
+        let listen = free_address();
+        std::fs::write(&path, config(&listen)).unwrap();
+        let mut child = Command::new("/bin/sh")
+            .args(["-c", &format!("ulimit -S -n {few}; exec \"$0\""), env!("CARGO_BIN_EXE_larchdale")])
+            .env("PROXY_CONFIG", &path)
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut log = BufReader::new(child.stderr.take().unwrap());
+        let mut first = String::new();
+        log.read_line(&mut first).unwrap();
+        let pid = Pid::from_child(&child);
+        prlimit(Some(pid), Resource::Nofile, Rlimit { current: Some(256), maximum: most }).unwrap();
+        let program = Program { child, log, listen, files };
+        assert!(first.contains("trying again") || first.contains("listening"), "{few}: {first}");
+        assert!(program.comes_up(), "with {few} descriptors: {first}");
+    }
+}
+
+/// The address is another process's for a moment longer: it is waited for, and SIGTERM is heard meanwhile.
+#[test]
+fn a_start_waits_for_its_address_and_hears_that_it_is_to_end() {
+    for told_to_end in [false, true] {
+        let held = TcpListener::bind("127.0.0.1:0").unwrap();
+        let listen = held.local_addr().unwrap().to_string();
+        let files = Scratch::new(&format!("in-use-{told_to_end}"));
+        let path = files.0.join("config.json");
+        std::fs::write(&path, config(&listen)).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_larchdale"))
+            .env("PROXY_CONFIG", &path)
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let log = BufReader::new(child.stderr.take().unwrap());
+        let mut program = Program { child, log, listen, files };
+        program.logs("trying again");
+        if told_to_end {
+            program.signal("-TERM");
+            assert!(program.child.wait().unwrap().success());
+        } else {
+            drop(held);
+            assert!(program.comes_up());
+        }
+    }
+}
+
+/// A loopback address that was free a moment ago.
+fn free_address() -> String {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string()
+}
+
 #[test]
 fn a_log_that_nobody_reads_holds_nothing_up() {
     // Each of these costs a line; together far more than a pipe and the waiting lines can hold.
