Clients: what has come is heard before its connection makes room, and accept's errors are told apart

Cause: make_room() ended the oldest client that never asked, or one with half a message, without reading; free_descriptor() closed the least used likewise, a reset over unread bytes. A whole request that lay there was lost.

--- /dev/null
+++ b/src/net/accept.rs
@@ -0,0 +1,66 @@
+//! What follows from an accept that fails.
+
+use rustix::io::Errno;
+use std::io::{self, ErrorKind};
+
+/// Errors by which Linux tells, at the accept, what became of the one connection that was next.
+const OF_ONE_CONNECTION: [Errno; 11] = [
+    Errno::CONNABORTED,
+    Errno::INTR,
+    Errno::PROTO,
+    Errno::NOPROTOOPT,
+    Errno::OPNOTSUPP,
+    Errno::NETDOWN,
+    Errno::NETUNREACH,
+    Errno::HOSTDOWN,
+    Errno::HOSTUNREACH,
+    Errno::TIMEDOUT,
+    Errno::PERM,
+];
+
+/// What follows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// Nobody waits any more.
+    Empty,
+    /// That one connection is gone; the next may be taken.
+    Next,
+    /// There is no descriptor: one must be freed first.
+    NoDescriptor,
+    /// The system has no room: later.
+    Later,
+}
+
+/// Judges an error of accept.
+pub fn failure(error: &io::Error) -> Failure {
+    let is = |codes: &[Errno]| codes.iter().any(|c| error.raw_os_error() == Some(c.raw_os_error()));
+    match error.kind() {
+        ErrorKind::WouldBlock => Failure::Empty,
+        _ if is(&OF_ONE_CONNECTION) => Failure::Next,
+        _ if is_out_of_descriptors(error) => Failure::NoDescriptor,
+        _ => Failure::Later,
+    }
+}
+
+/// Whether a socket could not be had for want of descriptors.
+pub fn is_out_of_descriptors(error: &io::Error) -> bool {
+    let code = error.raw_os_error();
+    [Errno::MFILE, Errno::NFILE].iter().any(|e| code == Some(e.raw_os_error()))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards idle connections, which were let go for errors that no descriptor would have mended.
+    #[test]
+    fn each_error_that_linux_documents_has_its_consequence() {
+        let of = |errno: Errno| failure(&io::Error::from_raw_os_error(errno.raw_os_error()));
+        for one in OF_ONE_CONNECTION {
+            assert_eq!(of(one), Failure::Next, "{one:?}");
+        }
+        assert_eq!((of(Errno::AGAIN), of(Errno::MFILE)), (Failure::Empty, Failure::NoDescriptor));
+        assert_eq!(of(Errno::NFILE), Failure::NoDescriptor);
+        assert_eq!((of(Errno::NOBUFS), of(Errno::NOMEM)), (Failure::Later, Failure::Later));
+    }
+}
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -40,6 +40,8 @@
     fn connected(&self) -> io::Result<bool>;
     /// Tells the peer that nothing more will be written.
     fn shut(&mut self) -> io::Result<()>;
+    /// Whether bytes have come that were not read.
+    fn has_waiting(&mut self) -> bool;
 }
 
 impl Transport for TcpStream {
@@ -57,6 +59,10 @@
     fn shut(&mut self) -> io::Result<()> {
         self.shutdown(Shutdown::Write)
     }
+
+    fn has_waiting(&mut self) -> bool {
+        matches!(self.peek(&mut [0]), Ok(n) if n > 0)
+    }
 }
 
 /// Why a connection is no more.
--- a/src/net/doorman/clients.rs
+++ b/src/net/doorman/clients.rs
@@ -1,6 +1,7 @@
 //! The clients' side: connections taken, requests read, final answers written.
 
 use super::*;
+use crate::net::accept::{self, Failure};
 
 /// No client waits longer than this many times what its class allows, and no part takes longer to send.
 const OUT_OF_RANGE: u64 = 4;
@@ -96,48 +97,65 @@
         if !self.life.accepts() {
             return;
         }
+        let mut taken = 0;
         for _ in 0..ACCEPTS {
             match self.listener.1.accept() {
-                Ok((mut stream, _)) => {
-                    let added = stream.set_nodelay(true).and_then(|()| {
-                        self.event_loop.add(&mut stream, Interest::READABLE | Interest::WRITABLE)
-                    });
-                    let Ok(token) = added else { continue };
-                    if !self.make_room() {
-                        continue;
-                    }
-                    let client = Client {
-                        conn: Connection::accepted(stream, self.now),
-                        last_stream: 0,
-                        open: FxHashMap::default(),
-                        told_leaving: false,
-                        spoke: false,
-                        taken_back: 0,
-                        awaited: Some(self.now),
-                        used: self.now,
-                        refused: None,
-                    };
-                    self.clients.insert(token, client);
-                }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
-                Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
-                Err(e) => {
-                    warn!(self.log, "accept failed"; "error" => %e);
-                    return self.accept_failed();
+                Ok((stream, _)) => {
+                    taken += 1;
+                    self.accepted(stream);
                 }
+                Err(e) => match accept::failure(&e) {
+                    Failure::Empty => return,
+                    Failure::Next => self.figures.accept_failures += 1,
+                    why @ (Failure::NoDescriptor | Failure::Later) => {
+                        warn!(self.log, "accept failed"; "error" => %e);
+                        return self.accept_failed(why);
+                    }
+                },
             }
         }
-        if !self.again.contains(&self.listener.0) {
+        if taken == 0 {
+            // Guards all else from an error that comes each time: there is a pause in it.
+            self.accept_soon();
+        } else if !self.again.contains(&self.listener.0) {
             self.again.push(self.listener.0);
         }
     }
 
+    fn accepted(&mut self, mut stream: TcpStream) {
+        let both = Interest::READABLE | Interest::WRITABLE;
+        let added = stream.set_nodelay(true).and_then(|()| self.event_loop.add(&mut stream, both));
+        let Ok(token) = added else { return };
+        if !self.make_room() {
+            return;
+        }
+        let client = Client {
+            conn: Connection::accepted(stream, self.now),
+            last_stream: 0,
+            open: FxHashMap::default(),
+            told_leaving: false,
+            spoke: false,
+            taken_back: 0,
+            awaited: Some(self.now),
+            used: self.now,
+            refused: None,
+        };
+        self.clients.insert(token, client);
+    }
+
     /// Guards against descriptors running out: no event will tell of those who still wait, so they are looked
-    /// for again, with an idle connection less. One timer at a time, however often it fails: each new
-    /// connection brings an event, and one timer for each of them would leave time for nothing else.
-    pub(super) fn accept_failed(&mut self) {
+    /// for again, with an idle connection less.
+    pub(super) fn accept_failed(&mut self, why: Failure) {
         self.figures.accept_failures += 1;
-        self.free_descriptor();
+        if why == Failure::NoDescriptor {
+            self.free_descriptor();
+        }
+        self.accept_soon();
+    }
+
+    /// Looks again for those who wait. One timer at a time, however often it fails: each new connection brings an
+    /// event, and one timer for each of them would leave time for nothing else.
+    fn accept_soon(&mut self) {
         if !std::mem::replace(&mut self.accept_later, true) {
             self.timers.set(self.now + ACCEPT_PAUSE, Due::Accept);
         }
@@ -148,14 +166,7 @@
     /// Guards against clients that connect by hundreds, or ask once and stay, keeping all others out, and the
     /// command channel and the depots without a descriptor.
     pub(super) fn make_room(&mut self) -> bool {
-        let mute = |c: &Client| !c.spoke && c.conn.is_open();
-        if self.clients.values().filter(|c| mute(c)).count() >= self.bounds.mute {
-            let oldest = self.clients.iter().filter(|c| mute(c.1)).min_by_key(|c| (c.1.used, *c.0));
-            if let Some(token) = oldest.map(|c| *c.0) {
-                self.figures.mute_gone += 1;
-                self.end_client(token);
-            }
-        }
+        self.bound_mute();
         loop {
             let ending = self.clients.iter().filter(|c| c.1.conn.is_ending());
             let (all, going) = (self.clients.len(), ending.clone().count());
@@ -175,26 +186,54 @@
                     return false;
                 };
                 // Each time round one of them is on its way out, is not idle any more, or is seen to be partial.
-                let gone = if client.conn.is_partial() {
+                let partial = client.conn.is_partial();
+                self.hear(token);
+                let gone = self.is_still(token, partial);
+                if gone {
                     self.end_client(token);
-                    true
-                } else {
-                    self.end_idle(token)
-                };
+                }
                 self.figures.idle_gone += u64::from(gone);
             }
         }
     }
 
+    /// Ends the oldest connections that never asked anything while there are as many as may be.
+    fn bound_mute(&mut self) {
+        let mute = |c: &Client| !c.spoke && c.conn.is_open();
+        while self.clients.values().filter(|c| mute(c)).count() >= self.bounds.mute {
+            let oldest = self.clients.iter().filter(|c| mute(c.1)).min_by_key(|c| (c.1.used, *c.0));
+            let Some(token) = oldest.map(|c| *c.0) else { return };
+            // Each time round one of them has asked, or is on its way out.
+            self.hear(token);
+            if self.clients.get(&token).is_some_and(mute) {
+                self.figures.mute_gone += 1;
+                self.end_client(token);
+            }
+        }
+    }
+
+    /// Takes what a client has sent that no event has told of yet.
+    /// Guards requests that are there, whole, in the moment in which their connection is to end.
+    pub(super) fn hear(&mut self, token: Token) {
+        self.client_ready(Ready { token, readable: true, writable: false, ended: false });
+    }
+
+    /// Whether a client is still idle after what it sent was heard, and no message has begun to come but the one that
+    /// had: `partial`.
+    pub(super) fn is_still(&self, token: Token, partial: bool) -> bool {
+        let idle = |c: &Client| c.is_idle() && (partial || !c.conn.is_partial());
+        self.clients.get(&token).is_some_and(idle)
+    }
+
     /// Ends a connection if what came meanwhile leaves it idle. Whether it is on its way out, or gone.
     /// Guards against a request that comes in the moment in which its connection is closed.
     pub(super) fn end_idle(&mut self, token: Token) -> bool {
-        self.client_ready(Ready { token, readable: true, writable: false, ended: false });
-        let Some(client) = self.clients.get_mut(&token) else { return true };
-        if client.is_idle() && !client.conn.is_partial() {
+        self.hear(token);
+        if self.is_still(token, false) {
             self.end_client(token);
             return true;
         }
+        let Some(client) = self.clients.get_mut(&token) else { return true };
         // A message that has begun to come counts as use: it is awaited for `MUTE`.
         client.used = self.now;
         client.conn.is_ending()
--- a/src/net/doorman/lifecycle.rs
+++ b/src/net/doorman/lifecycle.rs
@@ -68,7 +68,7 @@
             }
             // What came since the last turn is still served.
             for token in self.clients.keys().copied().collect::<Vec<_>>() {
-                self.client_ready(Ready { token, readable: true, writable: false, ended: false });
+                self.hear(token);
                 self.settle();
             }
             if self.is_over() {
--- a/src/net/doorman/news.rs
+++ b/src/net/doorman/news.rs
@@ -1,16 +1,11 @@
 //! What the command channel tells: the list of depots, and purges.
 
 use super::*;
+use crate::net::accept::is_out_of_descriptors;
+use crate::net::connection::Transport;
 use crate::net::feed::{Dead, Taken};
-use rustix::io::Errno;
 use rustix::process::{getrlimit, Resource};
 
-/// Whether a socket could not be had for want of descriptors.
-pub(super) fn is_out_of_descriptors(error: &io::Error) -> bool {
-    let code = error.raw_os_error();
-    [Errno::MFILE, Errno::NFILE].iter().any(|e| code == Some(e.raw_os_error()))
-}
-
 /// How many descriptors the system lets this process have.
 pub(super) fn may_open() -> usize {
     getrlimit(Resource::Nofile).current.map_or(usize::MAX, |n| n as usize)
@@ -112,8 +107,17 @@
     /// Lets go of what is missed least, so that a descriptor is free: the client that has been idle for longest, or
     /// else an idle connection to a depot. `false`: all are in use.
     pub(super) fn free_descriptor(&mut self) -> bool {
-        let idle = self.clients.iter().filter(|c| c.1.is_idle());
-        if let Some(token) = idle.min_by_key(|c| (c.1.used, *c.0)).map(|c| *c.0) {
+        // What has come unread is no end to make now: a dial wants the descriptor in the middle of other work.
+        let mut idle: Vec<(bool, Time, Token)> = self
+            .clients
+            .iter()
+            .filter(|c| c.1.is_idle())
+            .map(|(token, c)| (c.conn.is_partial(), c.used, *token))
+            .collect();
+        idle.sort_unstable();
+        let waits = |c: &mut Client| c.conn.transport().has_waiting();
+        let least = idle.into_iter().map(|c| c.2).find(|t| !self.clients.get_mut(t).is_some_and(waits));
+        if let Some(token) = least {
             self.figures.idle_gone += 1;
             self.drop_client(token);
             return true;
--- a/src/net/doorman/tests.rs
+++ b/src/net/doorman/tests.rs
@@ -10,6 +10,7 @@
 mod watch;
 
 use super::*;
+use crate::net::accept::Failure;
 use bytes::{BufMut, BytesMut};
 use std::io::{Read, Write};
 use std::net::{TcpListener as StdListener, TcpStream as StdStream};
@@ -941,11 +942,11 @@
     let mut w = World::new();
     let before = w.doorman.timers.count();
     for _ in 0..3 {
-        w.doorman.accept_failed();
+        w.doorman.accept_failed(Failure::NoDescriptor);
     }
     assert_eq!(w.doorman.timers.count(), before + 1);
     w.doorman.due(Due::Accept);
-    w.doorman.accept_failed();
+    w.doorman.accept_failed(Failure::NoDescriptor);
     assert_eq!(w.doorman.timers.count(), before + 2);
 }
 
--- a/src/net/doorman/upstream.rs
+++ b/src/net/doorman/upstream.rs
@@ -2,6 +2,7 @@
 
 use super::copies::voids;
 use super::*;
+use crate::net::accept::is_out_of_descriptors;
 
 impl Attempt {
     /// Whether its last byte is now written and was not before.
@@ -202,7 +203,7 @@
     fn dial(&mut self, depot: &Id, address: SocketAddr) -> Option<Token> {
         self.figures.dials += 1;
         let mut dial = self.event_loop.connect(address);
-        if dial.as_ref().is_err_and(news::is_out_of_descriptors) && self.free_descriptor() {
+        if dial.as_ref().is_err_and(is_out_of_descriptors) && self.free_descriptor() {
             dial = self.event_loop.connect(address);
         }
         match dial {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! The real doorman on sockets, round the decision module: it translates and decides nothing.
 
+pub mod accept;
 pub mod bounds;
 pub mod clock;
 pub mod config;
--- a/src/net/testing.rs
+++ b/src/net/testing.rs
@@ -41,6 +41,10 @@
         wire.shut = Some(wire.taken.len());
         Ok(())
     }
+
+    fn has_waiting(&mut self) -> bool {
+        !self.0.borrow().incoming.is_empty()
+    }
 }
 
 impl Read for Script {
