--- a/crates/standins/src/clients.rs
+++ b/crates/standins/src/clients.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 /// Kinds of frames.
+const FORGET: u8 = 9;
 const REQUEST: u8 = 7;
 const ANSWER: u8 = 8;
 const LEAVING: u8 = 3;
@@ -116,6 +117,14 @@
         Ok(self.next)
     }
 
+    /// Says that nobody waits for a stream any more.
+    pub fn forget(&mut self, stream: u32) -> io::Result<()> {
+        let mut frame = 5u32.to_be_bytes().to_vec();
+        frame.push(FORGET);
+        frame.extend(stream.to_be_bytes());
+        self.stream.write_all(&frame)
+    }
+
     /// Takes what has come within a span, which the system rounds up to some milliseconds; `false`: the connection
     /// has ended.
     pub fn hear(&mut self, within: Duration) -> io::Result<bool> {
--- a/crates/standins/src/processes.rs
+++ b/crates/standins/src/processes.rs
@@ -185,6 +185,15 @@
         Ok(process)
     }
 
+    /// Changes the configuration of one, and has its process read it again.
+    pub fn reconfigure(&mut self, number: usize, change: impl FnOnce(&mut Value)) -> io::Result<()> {
+        change(&mut self.configs[number]);
+        let Some(process) = &self.running[number] else { return Ok(()) };
+        let config = self.folder.join(number.to_string()).join("config.json");
+        std::fs::write(config, self.configs[number].to_string())?;
+        process.signal("-HUP")
+    }
+
     /// Where one takes clients.
     pub fn listens(&self, number: usize) -> Option<SocketAddr> {
         self.configs.get(number)?["listen"].as_str()?.parse().ok()
--- a/crates/standins/src/world/checker.rs
+++ b/crates/standins/src/world/checker.rs
@@ -15,6 +15,7 @@
         let killed = |lost| dead.iter().any(|d| d.0 == r.doorman && r.sent <= d.2 && d.1 <= lost);
         match (r.answers.len(), r.lost) {
             (1, _) => false,
+            (0, _) if r.left.is_some() => false,
             (0, Some(at)) => at - r.sent > CROSSES && !killed(at),
             _ => true,
         }
@@ -22,6 +23,26 @@
     requests.iter().filter(broken).collect()
 }
 
+/// Attempts that came to a server more than `within` after their client had stopped waiting.
+pub fn for_nobody<'a>(requests: &[Request], arrivals: &'a [Arrival], within: u64) -> Vec<&'a Arrival> {
+    let left: BTreeMap<u64, u64> =
+        requests.iter().filter_map(|r| Some((r.trace, r.left? + within))).collect();
+    let late = |a: &&Arrival| {
+        let trace = u64::from_str_radix(&a.id, 16).ok().filter(|_| a.from.is_none());
+        trace.and_then(|t| left.get(&t)).is_some_and(|until| a.at > *until)
+    };
+    arrivals.iter().filter(late).collect()
+}
+
+/// Answers that came more than `slack` after the time that their client waits; `patience` gives it by class.
+pub fn late<'a>(
+    requests: &'a [Request],
+    patience: impl Fn(&str) -> u64,
+    slack: u64,
+) -> impl Iterator<Item = &'a Request> {
+    requests.iter().filter(move |r| r.answers.iter().any(|a| a.at > r.sent + patience(&r.class) + slack))
+}
+
 /// Requests of a class that ran more than once at the archive.
 pub fn twice<'a>(arrivals: &'a [Arrival], specs: &[Spec], class: &str) -> BTreeSet<&'a str> {
     let mut seen = BTreeSet::new();
@@ -157,7 +178,7 @@
     fn request(doorman: usize, sent: u64, codes: &[u8], lost: Option<u64>) -> Request {
         let answer = |&code: &u8| Answer { at: sent + 1, code, pause_ms: None };
         let answers = codes.iter().map(answer).collect();
-        Request { trace: sent, class: "images".into(), doorman, sent, answers, lost }
+        Request { trace: sent, class: "images".into(), doorman, sent, answers, lost, left: None }
     }
 
     fn arrival(at: u64, server: usize, id: &str) -> Arrival {
--- a/crates/standins/src/world/records.rs
+++ b/crates/standins/src/world/records.rs
@@ -89,6 +89,8 @@
     pub answers: Vec<Answer>,
     /// When its connection ended without an answer.
     pub lost: Option<u64>,
+    /// When its client stopped waiting, and said so or closed its connection.
+    pub left: Option<u64>,
 }
 
 /// Served.
