--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Build, test, lint and run larchdale.
 .PHONY: build test lint run example example-registry measure-registry measure-deployments measure-view measure-sites \
-	measure-shards measure-growth measure-capacity capacity-page lay-unlock
+	measure-shards measure-growth measure-capacity capacity-page lay-unlock soak
 
 build:
 	cargo build --release --locked
@@ -14,6 +14,12 @@
 	sh tools/check-known-red.sh
 	sh tools/known-red.sh
 
+# The seeded soak by hand: SEEDS plays from the seed FROM on, three side by side.
+SEEDS ?= 50
+FROM ?= 1
+soak:
+	SOAK_SEEDS=$(SEEDS) SOAK_FROM=$(FROM) cargo test --locked --test soak -- --nocapture
+
 # The doorman of the configuration that PROXY_CONFIG names, or else of the example.
 run: build
 	PROXY_CONFIG="$${PROXY_CONFIG:-examples/config.json}" target/release/larchdale
--- a/crates/standins/src/world/checker.rs
+++ b/crates/standins/src/world/checker.rs
@@ -35,11 +35,11 @@
 }
 
 /// Answers that came more than `slack` after the time that their client waits; `patience` gives it by class.
-pub fn late<'a>(
-    requests: &'a [Request],
+pub fn late(
+    requests: &[Request],
     patience: impl Fn(&str) -> u64,
     slack: u64,
-) -> impl Iterator<Item = &'a Request> {
+) -> impl Iterator<Item = &Request> {
     requests.iter().filter(move |r| r.answers.iter().any(|a| a.at > r.sent + patience(&r.class) + slack))
 }
 
--- a/src/net/doorman/tests/crossings.rs
+++ b/src/net/doorman/tests/crossings.rs
@@ -396,6 +396,7 @@
 /// Seen failing where `make_room` and `free_descriptor` end a connection without a look at what has come.
 #[test]
 fn a_request_that_has_come_is_taken_before_its_connection_makes_room() {
+    type MakesRoom = fn(&mut World);
     let mute = |w: &mut World| {
         w.doorman.bounds.mute = 1;
         w.doorman.make_room();
@@ -407,7 +408,7 @@
     let descriptor = |w: &mut World| {
         w.doorman.free_descriptor();
     };
-    let ways: [(&str, fn(&mut World), bool, bool); 5] = [
+    let ways: [(&str, MakesRoom, bool, bool); 5] = [
         ("never asked", mute, false, false),
         ("least used", least_used, true, false),
         ("least used, half a message", least_used, true, true),
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -119,10 +119,7 @@
         let name = format!("soak-{seed}");
         let mut fleet = Fleet::new(program, &name, plan, servers, &Schedule::default(), way).unwrap();
         for doorman in 0..DOORMANS {
-            fleet
-                .doormans
-                .reconfigure(doorman, |c| c["limits"]["sockets"] = self.sockets.into())
-                .unwrap_or(());
+            fleet.doormans.reconfigure(doorman, |c| c["limits"]["sockets"] = self.sockets.into()).unwrap();
         }
         fleet.warm_parents();
         fleet.doormans.start_all().unwrap();
