Test that fails: SIGHUP whose file can't be opened for a moment

Seen 2026-12-02: 'new configuration not used, error: can't read ...: Too many open files (os error 24)'; nothing reads it later.

--- a/tests/program.rs
+++ b/tests/program.rs
@@ -222,6 +222,38 @@
 
 /// The configuration comes by a pipe: while it is awaited the process is known to have only just begun. Seen failing
 /// where signals are heard of once the configuration is read: SIGHUP ended the process.
+/// The new configuration can't be opened for want of descriptors in the moment of the signal: it is read a moment later.
+/// Seen failing: "new configuration not used", and that was the end of it.
+#[test]
+fn sighup_counts_also_where_its_file_can_not_be_opened_for_a_moment() {
+    use rustix::process::{getrlimit, prlimit, Pid, Resource, Rlimit};
+    let (first, second) =
+        (TcpListener::bind("127.0.0.1:0").unwrap(), TcpListener::bind("127.0.0.1:0").unwrap());
+    let at = |l: &TcpListener| config_with("127.0.0.1:0", &l.local_addr().unwrap().to_string());
+    let mut program = start_with("sighup-descriptors", "", &at(&first));
+    let _watch = heard(&first);
+    let pid = Pid::from_child(&program.child);
+    let limit = |current| {
+        let maximum = getrlimit(Resource::Nofile).maximum;
+        prlimit(Some(pid), Resource::Nofile, Rlimit { current: Some(current), maximum }).unwrap();
+    };
+    // The lowest number that is free is the one that the next file would have.
+    let path = |n: &u64| PathBuf::from(format!("/proc/{}/fd/{n}", program.child.id()));
+    let free = (0..).find(|n| path(n).symlink_metadata().is_err()).unwrap();
+    limit(free);
+    program.reconfigure(&at(&second));
+    // Either is logged: the test must not wait for what never comes.
+    let mut line = String::new();
+    while !line.contains("configuration") || line.contains("listening") {
+        line.clear();
+        assert!(program.log.read_line(&mut line).unwrap() > 0);
+    }
+    assert!(line.contains("can't be read yet"), "{line}");
+    limit(256);
+    program.logs("configuration read again");
+    heard(&second);
+}
+
 #[test]
 fn sighup_in_the_first_moment_of_a_process_is_a_reload_and_not_its_end() {
     let files = Scratch::new("first-moment");
