SIGHUP: a configuration that can't be opened for a moment is read a moment later

Cause: reload() took any error of the read as final, so that with descriptors used up for a moment another address of the command channel, or other limits, never came. It is tried again as at the start (lifecycle/startup.rs, 25 s at most), a later signal begins anew; other errors are final as before.

--- a/src/net/doorman.rs
+++ b/src/net/doorman.rs
@@ -39,6 +39,7 @@
     Action, Code, Effect, Event, Fetch, Id, Listed, Note, Outcome, Report, Request, Time,
 };
 use crate::invariant;
+use crate::lifecycle::startup::Tries;
 use crate::lifecycle::{Event as Life, Lifecycle};
 use crate::management::{End, Figures as Counts};
 use crate::membership::{Connections, Entry, Membership};
@@ -115,6 +116,8 @@
     Sweep,
     Figures,
     Accept,
+    /// The configuration could not be opened when it was to be read again.
+    Reload,
     /// The registry's driver wanted a turn at this moment.
     Registry(Time),
     /// The view of the fleet wanted one, and what the fleet does as one.
@@ -245,6 +248,8 @@
     more: bool,
     bounds: Bounds,
     clients: FxHashMap<Token, Client>,
+    /// A signal's new configuration that has not been read yet.
+    reload_tries: Option<Tries>,
     /// A failed accept will be tried again by a timer that is already set.
     accept_later: bool,
     membership: Membership,
@@ -328,6 +333,7 @@
             more: false,
             bounds,
             clients: FxHashMap::default(),
+            reload_tries: None,
             accept_later: false,
             membership: Membership::new(MOST_DEPOTS),
             started: false,
@@ -481,6 +487,7 @@
                 self.accept_later = false;
                 self.accept();
             }
+            Due::Reload => self.reload_due(),
             Due::Registry(at) => {
                 // An earlier one may have been set since.
                 if self.registry_due == Some(at) {
--- a/src/net/doorman/news.rs
+++ b/src/net/doorman/news.rs
@@ -1,9 +1,13 @@
 //! What the command channel tells: the list of depots, and purges.
 
 use super::*;
+use crate::lifecycle::startup::Tries;
 use crate::net::accept::is_out_of_descriptors;
+use crate::net::config::ConfigError;
 use crate::net::connection::Transport;
 use crate::net::feed::{Dead, Taken};
+use crate::net::startup;
+use crate::product::script::ScriptError;
 use rustix::process::{getrlimit, Resource};
 
 /// How many descriptors the system lets this process have.
@@ -126,8 +130,37 @@
         link.map(|token| self.lose_link(token)).is_some()
     }
 
-    /// Takes up the configuration file as it is now, if it can be used; else all stays as it is.
+    /// A signal has come: the configuration is to be read again.
     pub(super) fn reload(&mut self) {
+        self.reload_tries = Some(Tries::new(self.now));
+        self.read_configuration();
+    }
+
+    /// Reads again what the system could not open before; the timer of a signal that was followed by another finds
+    /// nothing to do once that one's file was read.
+    pub(super) fn reload_due(&mut self) {
+        if self.reload_tries.is_some() {
+            self.read_configuration();
+        }
+    }
+
+    /// Whether a file that can't be opened may be in a moment; then it is tried again.
+    /// Guards a new configuration, such as another address of the command channel, against a want of descriptors.
+    fn reads_later(&mut self, error: &io::Error) -> bool {
+        let cause = startup::cause(error);
+        let pause = self.reload_tries.as_mut().and_then(|t| t.failed(self.now, cause));
+        if is_out_of_descriptors(error) {
+            self.free_descriptor();
+        }
+        if let Some(pause) = pause {
+            warn!(self.log, "new configuration can't be read yet"; "error" => %error);
+            self.timers.set(self.now + pause, Due::Reload);
+        }
+        pause.is_some()
+    }
+
+    /// Takes up the configuration file as it is now, if it can be used; else all stays as it is.
+    fn read_configuration(&mut self) {
         // Both are read whole before anything changes.
         let read = Config::read(self.config_path.clone()).and_then(|new| {
             new.follows(&self.settings, &self.keys)?;
@@ -135,18 +168,23 @@
         });
         let new = match read {
             Ok(new) => new,
+            Err(ConfigError::Unreadable(_, e)) if self.reads_later(&e) => return,
             Err(e) => {
+                self.reload_tries = None;
                 self.counts.reloads[1] += 1;
                 return warn!(self.log, "new configuration not used"; "error" => %e);
             }
         };
         let product = match self.product_path.as_deref().map(script::read).transpose() {
             Ok(product) => product,
+            Err(ScriptError::Unreadable(_, e)) if self.reads_later(&e) => return,
             Err(e) => {
+                self.reload_tries = None;
                 self.counts.reloads[1] += 1;
                 return warn!(self.log, "new settings not used"; "error" => %e);
             }
         };
+        self.reload_tries = None;
         let fixed = [("name", new.name == self.name), ("listen", new.listen == self.listen)];
         for (what, _) in fixed.iter().filter(|f| !f.1) {
             warn!(self.log, "takes a restart to change"; "what" => what);
