--- a/src/net/doorman/tests/crossings.rs
+++ b/src/net/doorman/tests/crossings.rs
@@ -439,3 +439,30 @@
         assert_eq!(w.frame(&mut client), (8, 1, b"\x14\x00x".to_vec()), "{what}");
     }
 }
+
+/// A cancel that lies behind the answers that its client does not read is heeded: no further attempt is sent.
+/// Seen failing: the further attempt was sent.
+#[test]
+fn a_cancel_on_a_connection_that_is_not_read_has_no_further_attempt() {
+    let mut w = World::new();
+    let (mut client, mut cache, _) = w.asked();
+    let token = w.only_client();
+    let now = w.doorman.now;
+    let conn = &mut w.doorman.clients.get_mut(&token).unwrap().conn;
+    conn.queue(vec![0; 16 << 20]);
+    conn.flush(now);
+    assert!(conn.backlog() > HIGH_WATER);
+    w.doorman.client_written(token);
+    client.put(&[request(2, 2, "clip"), frame(9, 1, &[])].concat());
+    w.brought();
+    cache.put(&answer(&trace(1), "nothing", "-", ""));
+    w.until("the end of the attempt", |d| (d.codes_heard() == 1).then_some(()));
+    assert_eq!(w.attempts(), 1, "sent for nobody");
+    assert!(w.doorman.requests.is_empty());
+}
+
+impl Doorman {
+    fn codes_heard(&self) -> usize {
+        self.told.iter().filter(|e| matches!(e, Event::Outcome(_))).count()
+    }
+}
