Clients: a cancel behind answers that are not read is heeded

Cause: above 1 MB of backlog nothing is read of a client, so that its type 9 was not seen and a further attempt went out. Before a further attempt, or one that waited for a dial, the unread bytes of such a connection are looked at (peek, 256 KB).

--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -30,6 +30,8 @@
 const CHUNK: usize = 16 * 1024;
 /// Bytes read in one turn: then others have theirs.
 const TURN: usize = 128 * 1024;
+/// Bytes looked at that were not read: more than the system holds for one connection as it comes.
+const PEEKED: usize = 256 * 1024;
 /// Bytes read to no effect from a peer that goes on after we have finished, or have stopped hearing it: more than all
 /// that it may have had under way when it could first see the end.
 const DISCARDED: usize = 4 << 20;
@@ -40,8 +42,8 @@
     fn connected(&self) -> io::Result<bool>;
     /// Tells the peer that nothing more will be written.
     fn shut(&mut self) -> io::Result<()>;
-    /// Whether bytes have come that were not read.
-    fn has_waiting(&mut self) -> bool;
+    /// Copies what has come and was not read to the front of `buffer`, without taking it; how much that is.
+    fn peek_waiting(&mut self, buffer: &mut [u8]) -> usize;
 }
 
 impl Transport for TcpStream {
@@ -60,8 +62,8 @@
         self.shutdown(Shutdown::Write)
     }
 
-    fn has_waiting(&mut self) -> bool {
-        matches!(self.peek(&mut [0]), Ok(n) if n > 0)
+    fn peek_waiting(&mut self, buffer: &mut [u8]) -> usize {
+        self.peek(buffer).unwrap_or(0)
     }
 }
 
@@ -187,6 +189,24 @@
         self.backlog() + self.inbox.len()
     }
 
+    /// Whether bytes have come that were not read.
+    pub fn has_waiting(&mut self) -> bool {
+        self.transport.peek_waiting(&mut [0]) > 0
+    }
+
+    /// While nothing is read: what has come since, as far as it is worth a look, from the beginning of a message on.
+    pub fn unheard(&mut self) -> Option<Vec<u8>> {
+        if !self.paused || !self.is_open() {
+            return None;
+        }
+        let mut bytes = self.inbox.to_vec();
+        let begun = bytes.len();
+        bytes.resize(begun + PEEKED, 0);
+        let waiting = self.transport.peek_waiting(&mut bytes[begun..]);
+        bytes.truncate(begun + waiting);
+        Some(bytes)
+    }
+
     /// Whether a message has begun to come and is not whole.
     pub fn is_partial(&self) -> bool {
         !self.inbox.is_empty()
--- a/src/net/doorman/news.rs
+++ b/src/net/doorman/news.rs
@@ -4,7 +4,6 @@
 use crate::lifecycle::startup::Tries;
 use crate::net::accept::is_out_of_descriptors;
 use crate::net::config::ConfigError;
-use crate::net::connection::Transport;
 use crate::net::feed::{Dead, Taken};
 use crate::net::startup;
 use crate::product::script::ScriptError;
@@ -119,7 +118,7 @@
             .map(|(token, c)| (c.conn.is_partial(), c.used, *token))
             .collect();
         idle.sort_unstable();
-        let waits = |c: &mut Client| c.conn.transport().has_waiting();
+        let waits = |c: &mut Client| c.conn.has_waiting();
         let least = idle.into_iter().map(|c| c.2).find(|t| !self.clients.get_mut(t).is_some_and(waits));
         if let Some(token) = least {
             self.figures.idle_gone += 1;
--- a/src/net/doorman/tests/watch.rs
+++ b/src/net/doorman/tests/watch.rs
@@ -443,3 +443,29 @@
     client.put(&request(1, 1, "clip"));
     assert!(matches!(w.frame(&mut client).0, 8));
 }
+
+/// Two new configurations while discovery is dialed: what counts is where the last one says it is, and with the number
+/// of the last event; the dials and connections before it are let go.
+#[test]
+fn two_moves_within_one_dial_lead_to_the_last_address() {
+    let mut w = World::new();
+    let places = [StdListener::bind("127.0.0.1:0").unwrap(), StdListener::bind("127.0.0.1:0").unwrap()];
+    for place in &places {
+        w.doorman.feed.move_to(place.local_addr().unwrap());
+        w.doorman.tend_feed();
+    }
+    let old = w.channel.try_clone().unwrap();
+    w.channel = places[1].try_clone().unwrap();
+    w.channel.set_nonblocking(true).unwrap();
+    let (mut channel, cursor) = w.watch();
+    assert_eq!(cursor, CURSOR);
+    channel.put(&event(CURSOR + 1, 2, &record(1, &w.cache, DRAINS)));
+    w.past(CURSOR + 1);
+    assert!(!w.takes_work(CACHE));
+    for left in [&old, &places[0]] {
+        left.set_nonblocking(true).unwrap();
+        if let Ok((stream, _)) = left.accept() {
+            w.ended(&mut Peer::new(stream));
+        }
+    }
+}
--- a/src/net/doorman/upstream.rs
+++ b/src/net/doorman/upstream.rs
@@ -13,7 +13,25 @@
 }
 
 impl Doorman {
+    /// Takes a request for left where its client has taken it back on a connection that is not read, since answers
+    /// wait there. Guards the rule that nothing is sent for a client that has cancelled, which has no exceptions.
+    fn heed_unread_cancel(&mut self, id: &Id) -> bool {
+        let Some(open) = self.requests.get(id).filter(|o| !o.done) else { return false };
+        let (token, stream) = (open.client, open.stream);
+        let Some(client) = self.clients.get_mut(&token) else { return false };
+        let cancelled = client.conn.unheard().is_some_and(|bytes| frames::takes_back(&bytes, stream));
+        if cancelled {
+            client.open.remove(&stream);
+            self.client_left(id.clone());
+        }
+        cancelled
+    }
+
     pub(super) fn send(&mut self, id: Id, depot: Id, until: Time, fetch: Option<Fetch>) {
+        let number = self.requests.get(&id).map_or(0, |o| o.attempts);
+        if number > 0 && self.heed_unread_cancel(&id) {
+            return self.tell_outcome(&id, number, self.now, (Code::NeverSent, Note::Untold, None));
+        }
         let Some(open) = self.requests.get_mut(&id) else { return };
         let number = open.attempts;
         open.attempts += 1;
@@ -71,6 +89,11 @@
     }
 
     pub(super) fn write_want(&mut self, id: &Id) {
+        let waited =
+            self.requests.get(id).and_then(|o| o.attempt.as_ref()).is_some_and(|a| self.now > a.sent);
+        if waited && self.heed_unread_cancel(id) {
+            return;
+        }
         let Some(open) = self.requests.get(id) else { return };
         let Some(attempt) = open.attempt.as_ref() else { return };
         // The list may be ahead of what the module has been told of it.
--- a/src/net/proto/frames.rs
+++ b/src/net/proto/frames.rs
@@ -165,6 +165,20 @@
     out
 }
 
+/// Whether whole messages at the front of these bytes take a stream back; nothing is taken off.
+pub fn takes_back(mut bytes: &[u8], stream: u32) -> bool {
+    let forget = [&[FORGET][..], &stream.to_be_bytes()].concat();
+    while let Some((head, rest)) = bytes.split_first_chunk::<HEAD>() {
+        let length = u32::from_be_bytes(*head) as usize;
+        let Some((frame, more)) = rest.split_at_checked(length) else { return false };
+        if frame == forget {
+            return true;
+        }
+        bytes = more;
+    }
+    false
+}
+
 /// The answer to a request.
 pub fn answer(stream: u32, reply: &Reply) -> Vec<u8> {
     match reply {
--- a/src/net/testing.rs
+++ b/src/net/testing.rs
@@ -42,8 +42,10 @@
         Ok(())
     }
 
-    fn has_waiting(&mut self) -> bool {
-        !self.0.borrow().incoming.is_empty()
+    fn peek_waiting(&mut self, buffer: &mut [u8]) -> usize {
+        let wire = self.0.borrow();
+        let waiting = wire.incoming.iter().zip(buffer);
+        waiting.map(|(byte, to)| *to = *byte).count()
     }
 }
 
