--- a/src/net/doorman.rs
+++ b/src/net/doorman.rs
@@ -116,6 +116,8 @@
     Sweep,
     Figures,
     Accept,
+    /// The command channel is to be looked after.
+    Feed(Time),
     /// The configuration could not be opened when it was to be read again.
     Reload,
     /// The registry's driver wanted a turn at this moment.
@@ -241,6 +243,8 @@
     timers: Timers<Due>,
     listener: (Token, TcpListener),
     feed: Feed,
+    /// The timer that is set for it.
+    feed_due: Option<Time>,
     /// Where the list of depots comes from, if not from the command channel.
     registry: Option<Box<Driver>>,
     registry_due: Option<Time>,
@@ -330,6 +334,7 @@
             timers: Timers::default(),
             listener: (token, listener),
             feed: Feed::new(config.channel, config.cursor),
+            feed_due: None,
             registry: None,
             registry_due: None,
             more: false,
@@ -490,6 +495,7 @@
                 self.accept_later = false;
                 self.accept();
             }
+            Due::Feed(at) => self.feed_overdue(at),
             Due::Reload => self.reload_due(),
             Due::Registry(at) => {
                 // An earlier one may have been set since.
--- a/src/net/doorman/news.rs
+++ b/src/net/doorman/news.rs
@@ -70,6 +70,7 @@
         } else if !self.feed_died() && self.feed.has_unread() {
             self.again.push(event.token);
         }
+        self.plan_feed();
     }
 
     /// Lets the command channel's connection go where it is no use any more; whether it did.
@@ -88,9 +89,31 @@
 
     pub(super) fn tend_feed(&mut self) {
         self.feed_died();
-        if !self.feed.wants_dial(self.now) {
-            return;
+        if self.feed.wants_dial(self.now) {
+            self.dial_feed();
+        }
+        self.plan_feed();
+    }
+
+    /// Sets a timer for when the command channel is to be looked after next. Guards what it tells: a look late by a
+    /// sweep at each of a row of failures would be too late in sum.
+    fn plan_feed(&mut self) {
+        let at = self.feed.next().max(self.now + MS);
+        if self.feed_due.is_none_or(|due| at < due) {
+            self.feed_due = Some(at);
+            self.timers.set(at, Due::Feed(at));
+        }
+    }
+
+    /// The timer has come; an earlier one may have been set since.
+    pub(super) fn feed_overdue(&mut self, at: Time) {
+        if self.feed_due == Some(at) {
+            self.feed_due = None;
+            self.tend_feed();
         }
+    }
+
+    fn dial_feed(&mut self) {
         let mut dial = self.event_loop.connect(self.feed.address());
         if dial.as_ref().is_err_and(is_out_of_descriptors) && self.free_descriptor() {
             // Guards the list against idle clients: who connects next would take the descriptor, so it is used here.
--- a/src/net/doorman/tests/watch.rs
+++ b/src/net/doorman/tests/watch.rs
@@ -469,3 +469,23 @@
         }
     }
 }
+
+/// The watch falls silent, and the next two connections are taken and say nothing: what is told meanwhile is there
+/// before it counts as told and binds. Each wait is as long as it may be and no sweep helps.
+#[test]
+fn a_drain_told_into_silence_is_heard_in_time_though_two_tries_fail() {
+    let (mut w, _silent) = World::watched();
+    let began = w.doorman.now;
+    let mut held = Vec::new();
+    for (silence, pause) in [(2_500, 100), (2_000, 200), (2_200, 400)] {
+        w.skip(silence * MS);
+        assert!(w.doorman.feed.token().is_none(), "let go after {silence} ms");
+        w.skip(pause * MS);
+        held.push(w.watch().0);
+    }
+    let mut channel = held.pop().unwrap();
+    channel.put(&event(CURSOR + 1, 2, &record(1, &w.cache, DRAINS)));
+    w.past(CURSOR + 1);
+    let after = w.doorman.now - began;
+    assert!(after < 7_500 * MS && !w.takes_work(CACHE), "{after}");
+}
--- a/src/net/feed.rs
+++ b/src/net/feed.rs
@@ -9,8 +9,9 @@
 
 /// A frame comes each second; after this long without a whole one the connection is taken for dead.
 const SILENCE: Time = 2_500_000;
-/// The first frame has so long from when the dial came through.
-const FIRST_FRAME: Time = 2_000_000;
+/// The first frame has so long from when the dial came through: one comes each second. Two that fail in a row, after
+/// a silence, leave what is told meanwhile in time.
+const FIRST_FRAME: Time = 1_900_000;
 /// A dial has so long: one whose first packet got lost is sooner begun anew than waited for.
 const DIAL: Time = 1_000_000;
 /// A frame that is on its way has more time, so much for each byte that has come of it: 100 KB in a second. Guards
@@ -226,6 +227,22 @@
         self.link.as_ref().is_some_and(|l| l.1.has_unread())
     }
 
+    /// When it is to be looked after next, as far as nothing else happens: a dial is due, or its connection is dead.
+    pub fn next(&self) -> Time {
+        let Some((_, conn)) = self.link.as_ref() else { return self.retry_at };
+        let more = self.pause.saturating_sub(FIRST_PAUSE);
+        let coming = conn.held() as Time * PER_BYTE;
+        match (conn.state(), self.told) {
+            (State::Dialing, _) => conn.heard + DIAL + more,
+            (State::Open, Some(told)) => (told + SILENCE + coming).min(conn.heard + SILENCE),
+            (State::Open, None) => {
+                let opened = self.opened.unwrap_or(conn.heard);
+                (opened + FIRST_FRAME + more + coming).min(conn.heard + SILENCE)
+            }
+            (State::Deaf | State::Finishing | State::Lingering | State::Closed(_), _) => 0,
+        }
+    }
+
     /// Whether the connection has ended or fallen silent. Whole frames count, not bytes: half a frame that goes on
     /// trickling tells nothing, and drains would be missed behind it. What fails again gets somewhat longer, so that
     /// a slow channel is reached in the end.
@@ -297,8 +314,8 @@
 mod tests {
     use super::*;
 
-    /// Between two looks at whether it is dead, or whether a dial is due.
-    const LOOK: Time = 250_000;
+    /// How late a look at whether it is dead, or whether a dial is due, may be: timers are not exact.
+    const LOOK: Time = 5_000;
     /// What is told counts as told after this, whether it came or not; and work may follow a drain for so long.
     const TOLD: Time = 7_000_000;
     const GRACE: Time = 1_000_000;
@@ -314,4 +331,15 @@
         assert!(unanswered <= 5_000_000, "{unanswered}");
         assert!(silent <= TOLD - GRACE, "{silent}");
     }
+
+    /// The same where two tries in a row are taken and then say nothing: before the rule on purges binds.
+    #[test]
+    fn what_is_told_into_silence_is_there_in_time_also_if_two_tries_fail() {
+        let purge_grace = 500_000;
+        let pauses = [FIRST_PAUSE, 2 * FIRST_PAUSE, 4 * FIRST_PAUSE];
+        let first_frames = [pauses[1], pauses[2]].map(|pause| FIRST_FRAME + pause - FIRST_PAUSE);
+        let waits = SILENCE + pauses.iter().sum::<Time>() + first_frames.iter().sum::<Time>();
+        let looks = 6 * LOOK;
+        assert!(waits + looks <= TOLD + purge_grace, "{waits}");
+    }
 }
