--- a/tests/program.rs
+++ b/tests/program.rs
@@ -59,6 +59,16 @@
 }
 
 fn start_with(name: &str, shell: &str, config: &str) -> Program {
+    let mut program = spawn(name, shell, config, String::new());
+    // Its first line says where it listens; what comes after is left unread.
+    let mut first = String::new();
+    program.log.read_line(&mut first).unwrap();
+    program.listen = first.split_once("address: ").and_then(|p| p.1.split_once(',')).unwrap().0.to_owned();
+    program
+}
+
+/// Starts the program after what the shell is told, with its log from the first line on.
+fn spawn(name: &str, shell: &str, config: &str, listen: String) -> Program {
     let files = Scratch::new(name);
     let path = files.0.join("config.json");
     std::fs::write(&path, config).unwrap();
@@ -68,11 +78,7 @@
         .stderr(Stdio::piped())
         .spawn()
         .unwrap();
-    // Its first line says where it listens; what comes after is left unread.
-    let mut log = BufReader::new(child.stderr.take().unwrap());
-    let mut first = String::new();
-    log.read_line(&mut first).unwrap();
-    let listen = first.split_once("address: ").and_then(|p| p.1.split_once(',')).unwrap().0.to_owned();
+    let log = BufReader::new(child.stderr.take().unwrap());
     Program { child, log, listen, files }
 }
 
@@ -294,22 +300,13 @@
     use rustix::process::{getrlimit, prlimit, Pid, Resource, Rlimit};
     let most = getrlimit(Resource::Nofile).maximum;
     for few in 4..=14 {
-        let files = Scratch::new(&format!("few-{few}"));
-        let path = files.0.join("config.json");
         let listen = free_address();
-        std::fs::write(&path, config(&listen)).unwrap();
-        let mut child = Command::new("/bin/sh")
-            .args(["-c", &format!("ulimit -S -n {few}; exec \"$0\""), env!("CARGO_BIN_EXE_larchdale")])
-            .env("PROXY_CONFIG", &path)
-            .stderr(Stdio::piped())
-            .spawn()
-            .unwrap();
-        let mut log = BufReader::new(child.stderr.take().unwrap());
+        let name = format!("few-{few}");
+        let mut program = spawn(&name, &format!("ulimit -S -n {few};"), &config(&listen), listen);
         let mut first = String::new();
-        log.read_line(&mut first).unwrap();
-        let pid = Pid::from_child(&child);
+        program.log.read_line(&mut first).unwrap();
+        let pid = Pid::from_child(&program.child);
         prlimit(Some(pid), Resource::Nofile, Rlimit { current: Some(256), maximum: most }).unwrap();
-        let program = Program { child, log, listen, files };
         assert!(first.contains("trying again") || first.contains("listening"), "{few}: {first}");
         assert!(program.comes_up(), "with {few} descriptors: {first}");
     }
@@ -321,16 +318,8 @@
     for told_to_end in [false, true] {
         let held = TcpListener::bind("127.0.0.1:0").unwrap();
         let listen = held.local_addr().unwrap().to_string();
-        let files = Scratch::new(&format!("in-use-{told_to_end}"));
-        let path = files.0.join("config.json");
-        std::fs::write(&path, config(&listen)).unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_larchdale"))
-            .env("PROXY_CONFIG", &path)
-            .stderr(Stdio::piped())
-            .spawn()
-            .unwrap();
-        let log = BufReader::new(child.stderr.take().unwrap());
-        let mut program = Program { child, log, listen, files };
+        let name = format!("in-use-{told_to_end}");
+        let mut program = spawn(&name, "", &config(&listen), listen);
         program.logs("trying again");
         if told_to_end {
             program.signal("-TERM");
