Purge log: say why an instance was cut off

Cause: when an instance could vouch for the purge log no longer, nobody could tell from outside why: registry silent, connection lost, or the instance itself not run in time.

Change: purges::cut_off names the cause from what the follower knew in that moment; the log line "purge log cut-off explained" gives the evidence, and one figure a cause counts.

--- a/src/proxy/purge_log.rs
+++ b/src/proxy/purge_log.rs
@@ -8,13 +8,14 @@
 use crate::invariant;
 use crate::net::event_loop::{EventLoop, Ready};
 use crate::net::protocol::command_channel::{Command, Purge};
+use crate::purges::cut_off::{Cause, CauseCounts, Evidence};
 use crate::purges::log::{Action, Figures, Notice, PurgeLog, Settings, ENTRIES, SLOTS};
 use crate::purges::Cover;
 use crate::registry::documents::driver::DocumentsDriver;
-use crate::registry::documents::Settings as RegistrySettings;
+use crate::registry::documents::{FollowPhase, Settings as RegistrySettings};
 use crate::routing::events::{Event, Micros};
 use mio::Token;
-use slog::{info, o, warn};
+use slog::{info, o, warn, Logger};
 
 const MICROS_PER_MS: Micros = 1_000;
 /// Most bytes of entries that are kept: an entry has a bounded number of covers.
@@ -27,6 +28,7 @@
     log: PurgeLog,
     /// Whether the documents were read at least once.
     was_read: bool,
+    cut_off_causes: CauseCounts,
 }
 
 /// For how long copies older than a purge may be left somewhere: a fill from an old copy may end after the last drop.
@@ -48,7 +50,13 @@
         info!(context.log, "purge log enabled"; "prefix" => &settings.prefix,
               "staleness_ms" => settings.staleness / MICROS_PER_MS);
         let log = PurgeLog::new(settings, propagation_time(context.settings), context.now);
-        PurgeLogFollower { settings: settings.clone(), driver, log, was_read: false }
+        PurgeLogFollower {
+            settings: settings.clone(),
+            driver,
+            log,
+            was_read: false,
+            cut_off_causes: CauseCounts::default(),
+        }
     }
 
     /// Whether the settings are those that it runs with; all of them take a restart.
@@ -90,7 +98,7 @@
     }
 
     /// Names and values for the admin server.
-    pub fn metrics(&self, now: Micros) -> [(&'static str, u64); 7] {
+    pub fn metrics(&self, now: Micros) -> [(&'static str, u64); 11] {
         let Figures { entries, missed, unusable, cut_offs } = self.log.figures();
         let age = self.driver.confirmed().map_or(now, |confirmed| now.saturating_sub(confirmed));
         [
@@ -101,6 +109,10 @@
             ("purge_log_missed_total", missed),
             ("purge_log_unusable_total", unusable),
             ("purge_log_cut_offs_total", cut_offs),
+            ("purge_log_cut_offs_late_turn_total", self.cut_off_causes.get(Cause::LateTurn)),
+            ("purge_log_cut_offs_check_unanswered_total", self.cut_off_causes.get(Cause::CheckUnanswered)),
+            ("purge_log_cut_offs_disconnected_total", self.cut_off_causes.get(Cause::Disconnected)),
+            ("purge_log_cut_offs_confirmed_late_total", self.cut_off_causes.get(Cause::ConfirmedLate)),
         ]
     }
 
@@ -116,10 +128,32 @@
         if self.driver.revision() > 0 {
             self.take_changes(context, &mut actions);
         }
-        self.log.confirmed(context.now, self.driver.confirmed(), &mut actions);
+        let evidence = Evidence {
+            now: context.now,
+            judgement_due: self.log.next(),
+            confirmed: self.driver.confirmed(),
+            phase: self.driver.phase(),
+        };
+        self.log.confirmed(context.now, evidence.confirmed, &mut actions);
+        if actions.contains(&Action::Say(Notice::CutOff)) {
+            self.note_cut_off(&evidence, context.log);
+        }
         actions
     }
 
+    /// Counts why the instance was cut off, and tells the operators what shows it.
+    fn note_cut_off(&mut self, evidence: &Evidence, log: &Logger) {
+        let cause = Cause::of(evidence);
+        self.cut_off_causes.add(cause);
+        let age = |moment: Micros| evidence.now.saturating_sub(moment) / MICROS_PER_MS;
+        info!(log, "purge log cut-off explained"; "cause" => cause.name(), "registry" => ?evidence.phase,
+        "confirmed_ms_ago" => evidence.confirmed.map(age), "judged_late_ms" => age(evidence.judgement_due),
+        "check_sent_ms_ago" => match evidence.phase {
+            FollowPhase::Checking { sent } => Some(age(sent)),
+            _ => None,
+        });
+    }
+
     fn take_changes(&mut self, context: &FleetContext, actions: &mut Vec<Action>) {
         let changes = self.driver.take_changes();
         let driver = &self.driver;
--- /dev/null
+++ b/src/purges/cut_off/tests.rs
@@ -0,0 +1,39 @@
+//! What each evidence shows.
+
+use super::*;
+
+const MS: Micros = 1_000;
+
+fn evidence(late: Micros, phase: FollowPhase) -> Evidence {
+    let due = 5_000 * MS;
+    Evidence { now: due + late, judgement_due: due, confirmed: Some(due - 1_000 * MS), phase }
+}
+
+#[test]
+fn an_instance_that_did_not_run_blames_itself_and_not_the_registry() {
+    let checking = FollowPhase::Checking { sent: 4_500 * MS };
+    let phases = [
+        checking,
+        FollowPhase::Disconnected,
+        FollowPhase::Dialing,
+        FollowPhase::Listing,
+        FollowPhase::Watching,
+    ];
+    for phase in phases {
+        assert_eq!(Cause::of(&evidence(LATE_JUDGEMENT + 1, phase)), Cause::LateTurn);
+    }
+    let in_time = phases.map(|phase| Cause::of(&evidence(LATE_JUDGEMENT, phase)));
+    let lost = Cause::Disconnected;
+    assert_eq!(in_time, [Cause::CheckUnanswered, lost, lost, lost, Cause::ConfirmedLate]);
+}
+
+#[test]
+fn each_cause_has_a_count_and_a_name_of_its_own() {
+    let mut counts = CauseCounts::default();
+    for (times, cause) in Cause::ALL.into_iter().enumerate() {
+        (0..times).for_each(|_| counts.add(cause));
+    }
+    assert_eq!(Cause::ALL.map(|cause| counts.get(cause)), [0, 1, 2, 3]);
+    let names: std::collections::BTreeSet<_> = Cause::ALL.map(Cause::name).into_iter().collect();
+    assert_eq!(names.len(), Cause::ALL.len());
+}
--- a/src/purges/mod.rs
+++ b/src/purges/mod.rs
@@ -9,6 +9,7 @@
 //! What must never happen: a bound that is laxer than the purges ask for. Room is bounded; what finds none goes into
 //! buckets that stand for many objects or tags each, or for everything, and so only ever makes the bound stricter.
 
+pub mod cut_off;
 pub mod log;
 pub mod recent;
 #[cfg(test)]
--- a/src/registry/documents/driver.rs
+++ b/src/registry/documents/driver.rs
@@ -2,8 +2,8 @@
 //! decides nothing. The parts of the proxy that follow documents own one each.
 
 use super::{
-    Action, Caller, Changes, Document, Documents, DocumentsError, Notice, Outcome, Reply, Request, Rpc,
-    Settings, Transaction,
+    Action, Caller, Changes, Document, Documents, DocumentsError, FollowPhase, Notice, Outcome, Reply,
+    Request, Rpc, Settings, Transaction,
 };
 use crate::net::event_loop::{EventLoop, Ready};
 use crate::registry::grpc::{Channel, ChannelEvent};
@@ -122,6 +122,11 @@
         self.documents.confirmed()
     }
 
+    /// How far the connection is.
+    pub fn phase(&self) -> FollowPhase {
+        self.documents.phase()
+    }
+
     /// The revision that the documents are of; 0: none were listed yet.
     pub fn revision(&self) -> i64 {
         self.documents.revision()
--- a/src/registry/documents/mod.rs
+++ b/src/registry/documents/mod.rs
@@ -36,7 +36,7 @@
 pub use calls::{Caller, Outcome, Reply, Request};
 pub use error::DocumentsError;
 pub use mirror::{Changes, Document};
-pub use outputs::{Action, Counters, Notice, Rpc};
+pub use outputs::{Action, Counters, FollowPhase, Notice, Rpc};
 pub use settings::Settings;
 pub use transaction::{Condition, Transaction};
 
@@ -149,6 +149,20 @@
         self.state.is_watching()
     }
 
+    /// How far the connection is.
+    pub fn phase(&self) -> FollowPhase {
+        match &self.state {
+            State::Resting { .. } => FollowPhase::Disconnected,
+            State::Dialing { .. } => FollowPhase::Dialing,
+            State::Listing { .. } => FollowPhase::Listing,
+            State::Watching { watch, .. } if !watch.created => FollowPhase::Listing,
+            State::Watching { watch, .. } => watch
+                .check
+                .as_ref()
+                .map_or(FollowPhase::Watching, |check| FollowPhase::Checking { sent: check.sent }),
+        }
+    }
+
     /// When something is due without any input.
     pub fn next(&self) -> Micros {
         self.state.due(self.settings.silence).min(self.calls.due())
--- a/src/registry/documents/outputs.rs
+++ b/src/registry/documents/outputs.rs
@@ -7,6 +7,24 @@
 use crate::registry::status::Status;
 use crate::routing::events::Micros;
 
+/// How far the connection to the registry is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FollowPhase {
+    /// There is none until the next dial.
+    Disconnected,
+    /// An endpoint is being dialed.
+    Dialing,
+    /// A list is being read, or the watch that follows it has not begun.
+    Listing,
+    /// The documents are followed, and no check is under way.
+    Watching,
+    /// They are followed, and a check has no answer yet.
+    Checking {
+        /// When it was sent.
+        sent: Micros,
+    },
+}
+
 /// A request to the registry.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Rpc {
