Registry: what has arrived is read before its silence is judged

What callers saw: an instance that did not run for 0.4 s while a check was under way gave up its connection to the registry although the answer had come, and with the purge log on could cut itself off: copies older than the bound are refused.

Cause: both drivers judged what was due before they read what had arrived. After a pause both are there at once.

Change: both read first. Calls that have waited too long for being sent are ended before reading lets any go out: a planner's might be carried out after its lease.

Result: an_answer_that_came_during_a_pause_is_read_before_its_silence_is_judged fails without the first line of the mend ("the answer was not read") and passes with it.

--- a/src/registry/documents/calls.rs
+++ b/src/registry/documents/calls.rs
@@ -188,11 +188,16 @@
         calls.into_iter().for_each(|call| self.finish(call, Reply::Outcome(Outcome::Unknown)));
     }
 
-    /// Ends what has waited for too long; returns the calls that are to be cancelled.
-    pub(super) fn expire(&mut self, now: Micros) -> Vec<u64> {
+    /// Ends the calls that have waited too long for being sent.
+    pub(super) fn expire_waiting(&mut self, now: Micros) {
         while let Some(late) = self.waiting.pop_front_if(|waiting| waiting.until <= now) {
             self.replies.push_back((late.caller, Reply::Outcome(Outcome::NotSent)));
         }
+    }
+
+    /// Ends what has waited for too long; returns the calls that are to be cancelled.
+    pub(super) fn expire(&mut self, now: Micros) -> Vec<u64> {
+        self.expire_waiting(now);
         let late: Vec<u64> =
             self.sent.iter().filter(|(_, sent)| sent.until <= now).map(|(call, _)| *call).collect();
         late.iter().for_each(|call| self.finish(*call, Reply::Outcome(Outcome::Unknown)));
--- a/src/registry/documents/driver.rs
+++ b/src/registry/documents/driver.rs
@@ -175,8 +175,10 @@
         std::mem::take(&mut self.outcomes)
     }
 
-    /// Does what is due and what can be done.
+    /// Does what is due and what can be done. What has arrived is read before silence is judged: it may have lain
+    /// there since the process was stopped.
     pub fn turn(&mut self, now: Micros, event_loop: &mut EventLoop) {
+        self.poll_link(now);
         self.documents.tick(now, &mut self.actions);
         self.has_work = true;
         for _ in 0..MAX_ROUNDS_PER_TURN {
--- a/src/registry/documents/mod.rs
+++ b/src/registry/documents/mod.rs
@@ -286,11 +286,13 @@
         }
     }
 
-    /// Sends the calls that wait, if the registry is followed.
+    /// Sends the calls that wait, if the registry is followed. Those whose time is over are not sent: a planner's might
+    /// be carried out after its lease.
     fn send_calls(&mut self, now: Micros, actions: &mut Vec<Action>) {
         if !self.is_watching() {
             return;
         }
+        self.calls.expire_waiting(now);
         let until = now.saturating_add(self.settings.answer);
         while self.calls.has_waiting() {
             let call = self.next_number();
--- a/src/registry/driver.rs
+++ b/src/registry/driver.rs
@@ -130,19 +130,17 @@
         }
     }
 
-    /// Does what is due and what can be done.
+    /// Does what is due and what can be done. What has arrived is read before silence is judged: it may have lain
+    /// there since the process was stopped.
     pub fn turn(&mut self, now: Micros, event_loop: &mut EventLoop) {
+        self.receive(now);
         self.session.tick(now, &mut self.actions);
         self.has_work = true;
         for _ in 0..MAX_ROUNDS_PER_TURN {
             for action in std::mem::take(&mut self.actions) {
                 self.perform(now, event_loop, action);
             }
-            // While many updates wait to be taken nothing more is read: the flow control makes the registry wait, and
-            // the queue stays bounded.
-            if self.session.pending_updates() <= self.settings.most_keys {
-                self.poll_link(now);
-            }
+            self.receive(now);
             if self.actions.is_empty() {
                 self.has_work = self.link.as_ref().is_some_and(Link::has_work);
                 break;
@@ -234,6 +232,14 @@
         });
     }
 
+    /// Sends and receives, unless many updates wait to be taken: then the flow control makes the registry wait, and the
+    /// queue stays bounded.
+    fn receive(&mut self, now: Micros) {
+        if self.session.pending_updates() <= self.settings.most_keys {
+            self.poll_link(now);
+        }
+    }
+
     /// Sends and receives, and hands what has arrived to the session.
     fn poll_link(&mut self, now: Micros) {
         let Some(link) = &mut self.link else { return };
--- a/tests/registry_documents.rs
+++ b/tests/registry_documents.rs
@@ -5,8 +5,8 @@
 use larchdale::net::event_loop::EventLoop;
 use larchdale::registry::documents::driver::DocumentsDriver;
 use larchdale::registry::documents::{
-    Action, Caller, Condition, Documents, DocumentsError, Notice, Outcome, Reply, Request, Rpc, Settings,
-    Transaction,
+    Action, Caller, Condition, Documents, DocumentsError, FollowPhase, Notice, Outcome, Reply, Request, Rpc,
+    Settings, Transaction,
 };
 use larchdale::registry::keys::range_end;
 use larchdale::registry::lease::{fenced, PLANNER};
@@ -511,3 +511,22 @@
     });
     assert_eq!(written, ("one two three four".to_owned(), "a - b - a".to_owned()));
 }
+
+/// Guards against a connection that is given up for silence though its answer lies unread: the follower was stopped.
+#[test]
+fn an_answer_that_came_during_a_pause_is_read_before_its_silence_is_judged() {
+    let registry = Registry::start(1).unwrap();
+    let mut follower = Proxy::new("a", &registry, 0);
+    let confirmed = follower.until("confirmed", |d, _| d.confirmed());
+    let connection = follower.driver.token();
+    follower.skipped += 2 * S;
+    let is_checking =
+        |d: &mut DocumentsDriver, _| matches!(d.phase(), FollowPhase::Checking { .. }).then_some(());
+    follower.until("a check under way", is_checking);
+    // Its answer comes while the follower does not look.
+    std::thread::sleep(Duration::from_millis(100));
+    follower.skipped += 30 * S;
+    follower.turn();
+    assert!(follower.driver.confirmed() > Some(confirmed), "the answer was not read");
+    assert_eq!(follower.driver.token(), connection, "the connection was given up");
+}
