Loop: a timer is judged only after what had come by its time was read

What callers saw: after a pause of the process whatever has a time limit was judged before its input: idle connections, attempts, dials, the silence of peers and of the registry; and requests that had come meanwhile were decided by what the purge log vouched for before the pause.

Cause: a turn handled all timers due at its end with what a poll from its beginning had reported. A poll that a stop interrupts reports nothing (EINTR), and a full buffer leaves the rest.

Change: a wait polls again until all that is ready is reported; a turn handles the timers that were due when its wait began, a later one waits for the next turn, which polls first. What the purge log vouches for is judged, once its own input is read, before upstreams and clients are heard. What one turn left unread is taken in the same order as the rest.

--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -21,8 +21,10 @@
 pub const SIGNALS: Token = Token(0);
 /// The first token of sockets.
 const FIRST_SOCKET: usize = 1;
-/// Events taken in one turn.
-const EVENTS_PER_TURN: usize = 512;
+/// Events taken by one poll.
+const EVENTS_PER_POLL: usize = 512;
+/// Polls of one wait: together they report more sockets than a process has descriptors.
+const MAX_POLLS_PER_WAIT: usize = 16;
 
 /// Timers of any kind, in order of their time and, within one moment, of their setting.
 #[derive(Debug)]
@@ -81,6 +83,11 @@
         self.heap.is_empty()
     }
 
+    /// All that are set, in no order.
+    pub fn iter(&self) -> impl Iterator<Item = &T> {
+        self.heap.iter().map(|Reverse((_, _, what))| &what.0)
+    }
+
     /// When the next one is due.
     pub fn next(&self) -> Option<Micros> {
         self.heap.peek().map(|t| t.0 .0)
@@ -176,7 +183,7 @@
         }
         let mut signals = UnixStream::from_std(ours);
         poll.registry().register(&mut signals, SIGNALS, Interest::READABLE)?;
-        let events = Events::with_capacity(EVENTS_PER_TURN);
+        let events = Events::with_capacity(EVENTS_PER_POLL);
         Ok(EventLoop { poll, events, next_token: FIRST_SOCKET, signals, flags, registration_faults: None })
     }
 
@@ -224,22 +231,38 @@
         Ok((token, stream))
     }
 
-    /// Waits until something is ready, for `wait` at most, and appends what is.
+    /// Waits until something is ready, for `wait` at most, and appends all that is: what is not reported was not there
+    /// when this was called.
     ///
     /// # Errors
     /// The poll fails.
     pub fn wait(&mut self, wait: Duration, ready: &mut Vec<Ready>) -> io::Result<()> {
+        let mut is_complete = self.poll_once(wait, ready)?;
+        for _ in 1..MAX_POLLS_PER_WAIT {
+            if is_complete {
+                break;
+            }
+            is_complete = self.poll_once(Duration::ZERO, ready)?;
+        }
+        Ok(())
+    }
+
+    /// Polls once. Whether all was reported: a signal, or a process that was stopped and goes on, ends a poll before it
+    /// has looked at the sockets, and a full buffer leaves the rest.
+    fn poll_once(&mut self, wait: Duration, ready: &mut Vec<Ready>) -> io::Result<bool> {
         match self.poll.poll(&mut self.events, Some(wait)) {
-            Err(e) if e.kind() != io::ErrorKind::Interrupted => return Err(e),
-            _ => {}
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => return Ok(false),
+            Err(e) => return Err(e),
+            Ok(()) => {}
         }
+        let reported = ready.len();
         ready.extend(self.events.iter().map(|e| Ready {
             token: e.token(),
             readable: e.is_readable() || e.is_read_closed() || e.is_error(),
             writable: e.is_writable() || e.is_write_closed() || e.is_error(),
             ended: e.is_read_closed(),
         }));
-        Ok(())
+        Ok(ready.len() - reported < EVENTS_PER_POLL)
     }
 
     /// The signals since the last call.
--- a/src/proxy/fleet.rs
+++ b/src/proxy/fleet.rs
@@ -301,6 +301,15 @@
         self.schedule_fleet_turn(next);
     }
 
+    /// Has the purge log judge what it vouches for, where that is due. Its timer alone would come too late where the
+    /// process was stopped: requests that came meanwhile are decided before timers.
+    pub(super) fn judge_purge_log(&mut self) {
+        if self.purge_log().is_some_and(|log| log.is_judgement_due(self.now)) {
+            self.purge_log_turn();
+            self.settle();
+        }
+    }
+
     /// Lets the purge log go on, does what it asks, and schedules its next turn.
     fn purge_log_turn(&mut self) {
         let Some(mut purge_log) = self.fleet.as_mut().and_then(|fleet| fleet.purge_log.take()) else {
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -66,6 +66,22 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// The order in which a turn takes what has become ready.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum InputOrder {
+    /// What operators are told must not wait for what clients have brought.
+    Operators,
+    /// What is purged binds all that is decided after it.
+    PurgeLog,
+    /// Clients that leave come before the upstreams, whose responses would lead to further attempts.
+    DepartingClient,
+    /// Upstreams, lists of endpoints, new connections.
+    Upstream,
+    /// Clients that ask come last: nothing goes to an endpoint whose drain, or on a connection whose end, came in the
+    /// same turn.
+    Client,
+}
+
 /// One instance on its sockets.
 pub struct Proxy {
     log: Logger,
@@ -128,7 +144,9 @@
         Ok(())
     }
 
-    /// One turn: waits for something to happen and handles it, then the timers that are due.
+    /// One turn: waits for something to happen and handles it, then the timers that were due when the wait began. A
+    /// later one waits for the next turn: whatever had come by its time has been read then, also where the process was
+    /// stopped for a while. What was not heard while nobody listened is no silence.
     fn turn(&mut self) -> io::Result<()> {
         let started = self.clock.now();
         let previous_turn = started.saturating_sub(self.now);
@@ -139,38 +157,52 @@
         let mut ready = std::mem::take(&mut self.ready);
         self.event_loop.wait(Duration::from_micros(wait), &mut ready)?;
         self.now = self.clock.now();
-        ready.sort_by_key(|event| self.priority(event));
-        for token in std::mem::take(&mut self.unfinished_reads) {
-            self.handle_ready(Ready { token, readable: false, writable: false, ended: false });
+        self.handle_input(&mut ready);
+        self.ready = ready;
+        self.handle_due_timers(started);
+        Ok(())
+    }
+
+    /// Handles what has become ready, and what the last turn left unread. What the purge log vouches for is judged once
+    /// its own input is read, before anything is decided by it.
+    fn handle_input(&mut self, ready: &mut Vec<Ready>) {
+        let unfinished = std::mem::take(&mut self.unfinished_reads).into_iter();
+        ready.extend(unfinished.map(|token| Ready { token, readable: false, writable: false, ended: false }));
+        ready.sort_by_key(|event| self.input_order(event));
+        let of_purge_log = ready.partition_point(|event| self.input_order(event) <= InputOrder::PurgeLog);
+        for event in ready.drain(..of_purge_log) {
+            self.handle_ready(event);
         }
+        self.judge_purge_log();
         for event in ready.drain(..) {
             self.handle_ready(event);
         }
-        self.ready = ready;
         if std::mem::take(&mut self.discovery.has_more) {
             self.run_registry();
             self.settle();
         }
-        while let Some((due_at, timer)) = self.timers.due(self.now) {
+    }
+
+    /// Handles the timers that were due at a moment.
+    fn handle_due_timers(&mut self, moment: Micros) {
+        while let Some((due_at, timer)) = self.timers.due(moment) {
             self.metrics.max_timer_delay = self.metrics.max_timer_delay.max(self.now - due_at);
             self.handle_timer(timer);
             self.settle();
         }
-        Ok(())
     }
 
-    /// The order within a turn. Operators come first, since what they are told must not wait for what clients have
-    /// brought. Clients that leave come before the upstreams, whose responses would lead to further attempts. Clients
-    /// that ask come after them: nothing goes to an endpoint whose drain, or on a connection whose end, came in the
-    /// same turn.
-    fn priority(&self, event: &Ready) -> u8 {
+    fn input_order(&self, event: &Ready) -> InputOrder {
         if self.admin.as_ref().is_some_and(|admin| admin.owns(event.token)) {
-            return 0;
+            return InputOrder::Operators;
+        }
+        if self.purge_log().is_some_and(|purge_log| purge_log.token() == Some(event.token)) {
+            return InputOrder::PurgeLog;
         }
         match (self.clients.contains(&event.token), event.ended) {
-            (true, true) => 1,
-            (false, _) => 2,
-            (true, false) => 3,
+            (true, true) => InputOrder::DepartingClient,
+            (false, _) => InputOrder::Upstream,
+            (true, false) => InputOrder::Client,
         }
     }
 
--- a/src/proxy/purge_log.rs
+++ b/src/proxy/purge_log.rs
@@ -82,6 +82,11 @@
         self.driver.next().min(self.log.next())
     }
 
+    /// Whether what is vouched for changes by now without anything being heard.
+    pub fn is_judgement_due(&self, now: Micros) -> bool {
+        self.log.next() <= now
+    }
+
     /// Whether all purges up to the bound on staleness are known: only then copies of the instance's own are served.
     pub fn vouches(&self) -> bool {
         self.log.vouches()
--- a/src/proxy/tests.rs
+++ b/src/proxy/tests.rs
@@ -9,6 +9,7 @@
 mod handover;
 mod local_cache;
 mod owed_responses;
+mod pauses;
 mod processes;
 mod purge_log;
 mod races;
--- a/src/proxy/tests/purge_log.rs
+++ b/src/proxy/tests/purge_log.rs
@@ -3,6 +3,7 @@
 use super::local_cache::{asks, tells, unix_ms, with_copies};
 use super::*;
 use crate::purges::log::Settings;
+use larchdale_test_support::registry::server::Registry;
 
 /// Switches a log on whose registry nobody reaches.
 pub(super) fn cut_off(proxy: &mut Proxy) {
@@ -11,6 +12,16 @@
     proxy.start_fleet(&Product { purge_log, ..Product::default() }, 1).unwrap();
 }
 
+/// One whose log is followed and vouched for, with its registry.
+pub(super) fn vouching() -> (World, Registry) {
+    let mut w = World::new();
+    let registry = Registry::start(1).unwrap();
+    let purge_log = Some(Settings::new(registry.addresses.clone(), "/purges/"));
+    w.proxy.start_fleet(&Product { purge_log, ..Product::default() }, 1).unwrap();
+    w.until("the log", |d| d.purge_log().is_some_and(|log| log.vouches()).then_some(()));
+    (w, registry)
+}
+
 #[test]
 fn what_is_asked_while_nothing_can_be_vouched_for_names_the_bound_as_the_oldest_age() {
     let mut w = World::new();
--- a/src/proxy/tests/races.rs
+++ b/src/proxy/tests/races.rs
@@ -9,7 +9,7 @@
     }
 
     /// Waits until the machine has brought what its one client did last, without a turn of the instance's.
-    fn brought(&mut self) {
+    pub(super) fn brought(&mut self) {
         let token = self.only_client();
         let client = self.proxy.clients.get_mut(&token).unwrap();
         let come = (0..1_000_000).any(|_| client.conn.transport().peek(&mut [0]).is_ok());
