Clients: a connection that has brought a message is in use, and stays open

What callers saw: after a pause of the process of more than 5 s nearly all open connections ended within 10 ms, without a notice, and requests on their way were lost.

Cause: whoever closes an idle connection read what had come and closed if no request was open then. What is answered at once opens none, so a connection that brought dozens of requests counted as idle: finish_idle_client and evict_idle_client. A standby closed what it had not read at all.

Change: read_client says whether a whole message came; then nobody closes the connection. Making room looks at each connection a bounded number of times. A standby reads before it closes.

--- a/src/proxy/client_admission.rs
+++ b/src/proxy/client_admission.rs
@@ -12,6 +12,8 @@
 
 /// Connections accepted in one turn.
 const MAX_ACCEPTS_PER_TURN: usize = 64;
+/// How often each connection may be looked at to make room for one.
+const MAX_EVICTION_ROUNDS: usize = 3;
 /// Pause after an accept that failed.
 const ACCEPT_RETRY_PAUSE: Micros = 20 * MILLISECOND;
 
@@ -118,7 +120,9 @@
     /// hundreds, or that ask once and stay, keep neither other clients out nor descriptors from the rest.
     pub(super) fn make_room(&mut self) -> bool {
         self.limit_silent_clients();
-        loop {
+        // Clients that go on sending while they are read must not keep this going for ever.
+        let max_steps = MAX_EVICTION_ROUNDS * (self.clients.len() + 1);
+        for _ in 0..max_steps {
             let (all, ending) = (self.clients.len(), self.clients.ending());
             let has_place = all < self.bounds.clients
                 || ending <= self.bounds.closing && all < self.bounds.clients + ending;
@@ -130,18 +134,19 @@
                     self.drop_client(token);
                 }
             } else if !self.evict_idle_client() {
-                self.metrics.rejected_clients += 1;
-                return false;
+                break;
             }
         }
+        self.metrics.rejected_clients += 1;
+        false
     }
 
     /// Closes the least useful connection unless something has come on it. `false`: none is idle. After each call one
-    /// connection is on its way to its end, is not idle any more, or is seen to have half a message.
+    /// connection is on its way to its end, has been used just now, or is seen to have half a message.
     fn evict_idle_client(&mut self) -> bool {
         let Some((token, had_partial)) = self.clients.least_useful() else { return false };
-        self.read_client(token);
-        if self.is_still_idle(token, had_partial) {
+        let is_in_use = self.read_client(token);
+        if !is_in_use && self.is_still_idle(token, had_partial) {
             self.finish_client(token);
             self.metrics.evicted_idle_clients += 1;
         }
--- a/src/proxy/clients.rs
+++ b/src/proxy/clients.rs
@@ -52,8 +52,8 @@
     pub(super) is_sent_away: bool,
     /// Requests cancelled, less those answered since.
     unanswered_cancels: u32,
-    /// Whether it has ever sent a whole message.
-    pub(super) has_sent_message: bool,
+    /// Whole messages that it has sent.
+    message_count: u64,
     /// Since when a message that is not whole is awaited: from its first byte, the first one from the accept.
     message_awaited_since: Option<Micros>,
     pub(super) last_used: Micros,
@@ -84,7 +84,7 @@
             open_streams: FxHashMap::default(),
             is_sent_away: false,
             unanswered_cancels: 0,
-            has_sent_message: false,
+            message_count: 0,
             message_awaited_since: Some(now),
             last_used: now,
             protocol_error: None,
@@ -96,17 +96,22 @@
         self.open_streams.is_empty() && self.conn.backlog() == 0
     }
 
+    /// Whether it has ever sent a whole message.
+    fn has_sent_message(&self) -> bool {
+        self.message_count > 0
+    }
+
     /// Whether it is open and has never sent a whole message.
     pub(super) fn is_silent(&self) -> bool {
-        !self.has_sent_message && self.conn.is_open()
+        !self.has_sent_message() && self.conn.is_open()
     }
 
     /// Notes what a read has brought, for the timeouts.
-    fn note_received(&mut self, now: Micros, has_messages: bool) {
+    fn note_received(&mut self, now: Micros, messages: usize) {
         self.last_used = now;
-        self.has_sent_message |= has_messages;
-        let awaits_more = !self.has_sent_message || self.conn.has_partial_message();
-        let since = self.message_awaited_since.filter(|_| !has_messages).unwrap_or(now);
+        self.message_count += messages as u64;
+        let awaits_more = !self.has_sent_message() || self.conn.has_partial_message();
+        let since = self.message_awaited_since.filter(|_| messages == 0).unwrap_or(now);
         self.message_awaited_since = awaits_more.then_some(since);
     }
 
@@ -335,7 +340,7 @@
             let idle_time = since(client.last_used);
             let connection = IdleConnection {
                 is_leaving: client.is_sent_away,
-                had_request: client.has_sent_message,
+                had_request: client.has_sent_message(),
                 idle: idle_time,
             };
             let drains = lifecycle.closes(now, connection) && !client.conn.has_partial_message();
@@ -376,7 +381,7 @@
         let mut received = MessageBuffer::new(frames::decode);
         client.conn.ready(self.now, event.readable, event.writable, &mut received);
         if received.has_received {
-            client.note_received(self.now, !received.messages.is_empty());
+            client.note_received(self.now, received.messages.len());
         }
         // A client that closes its side has abandoned all its requests, also those that came just before. Only where
         // it broke the protocol is it still told so.
@@ -403,9 +408,13 @@
     }
 
     /// Takes what a client has sent that no event has reported yet: whole requests that are there count, also in the
-    /// moment in which their connection is to end.
-    pub(super) fn read_client(&mut self, token: Token) {
+    /// moment in which their connection is to end. Whether a whole message had come: then the connection is in use,
+    /// also where all that came was answered at once.
+    pub(super) fn read_client(&mut self, token: Token) -> bool {
+        let message_count = |proxy: &Proxy| proxy.clients.get(&token).map(|client| client.message_count);
+        let before = message_count(self);
         self.client_ready(Ready { token, readable: true, writable: false, ended: false });
+        message_count(self) != before
     }
 
     fn handle_messages(&mut self, token: Token, messages: Vec<ClientMessage>) {
@@ -503,10 +512,11 @@
         self.clients.get(&token).is_some_and(is_idle)
     }
 
-    /// Finishes a connection unless what came meanwhile gives it something to do.
+    /// Finishes a connection unless something has come on it meanwhile. Its client goes on where requests came: one
+    /// that is under way would cross the close.
     pub(super) fn finish_idle_client(&mut self, token: Token) {
-        self.read_client(token);
-        if self.is_still_idle(token, false) {
+        let is_in_use = self.read_client(token);
+        if !is_in_use && self.is_still_idle(token, false) {
             return self.finish_client(token);
         }
         if let Some(client) = self.clients.get_mut(&token) {
@@ -515,6 +525,14 @@
         }
     }
 
+    /// Finishes a connection on which nothing more is begun, once what had come is answered.
+    fn finish_parting_client(&mut self, token: Token) {
+        self.read_client(token);
+        if self.is_still_idle(token, true) {
+            self.finish_client(token);
+        }
+    }
+
     /// Writes what waits for a client, closes our side, and lets the connection go once the client has closed its
     /// own. Requests that come now find the end, and are sent again elsewhere.
     pub(super) fn finish_client(&mut self, token: Token) {
@@ -547,7 +565,7 @@
             self.finish_idle_client(token);
         }
         for token in expired.parting {
-            self.finish_client(token);
+            self.finish_parting_client(token);
         }
         for token in self.clients.with_overdue_message(self.now) {
             self.refuse_client(token, Malformed::MessageTimeout);
--- a/src/proxy/tests/races.rs
+++ b/src/proxy/tests/races.rs
@@ -188,6 +188,74 @@
     assert_eq!(w.frame(&mut client), (8, 2, b"\x14\x00y".to_vec()));
 }
 
+/// Guards against closing a connection that its client uses: what came was answered at once, so nothing is open on it,
+/// but the next request is on its way.
+#[test]
+fn an_idle_connection_that_brings_a_message_answered_at_once_stays_open() {
+    let mut w = World::new();
+    let (mut client, mut cache, _) = w.asked();
+    cache.put(&answer(&trace(1), "ok", "-", "x"));
+    assert_eq!(w.frame(&mut client).2[0], 20);
+    w.late(IDLE_TIMEOUT + MILLISECOND);
+    client.put(&frame(1, 0, &fields(&[])));
+    w.brought();
+    w.proxy.sweep();
+    assert_eq!(w.frame(&mut client), (2, 0, vec![20, 0]));
+    assert_eq!(w.open_clients(), 1, "it is in use");
+    client.put(&request(2, 2, "clip"));
+    assert_eq!(w.command(&mut cache)[1], trace(2));
+    cache.put(&answer(&trace(2), "ok", "-", "y"));
+    assert_eq!(w.frame(&mut client), (8, 2, b"\x14\x00y".to_vec()));
+    // One that brings nothing more is idle again.
+    w.late(IDLE_TIMEOUT + MILLISECOND);
+    w.proxy.sweep();
+    w.ends_well(&mut client);
+}
+
+/// Guards against the same where a connection is to make room: another that brings nothing goes in its place.
+#[test]
+fn a_connection_that_brings_a_message_answered_at_once_does_not_make_room() {
+    let mut w = World::new();
+    let ready = frame(1, 0, &fields(&[]));
+    let mut used = w.client();
+    used.put(&ready);
+    assert_eq!(w.frame(&mut used).0, 2);
+    let used_token = w.only_client();
+    w.late(MILLISECOND);
+    let mut idle = w.client();
+    idle.put(&ready);
+    assert_eq!(w.frame(&mut idle).0, 2);
+    w.late(MILLISECOND);
+    used.put(&ready);
+    let conn = &mut w.proxy.clients.get_mut(&used_token).unwrap().conn;
+    assert!((0..1_000_000).any(|_| conn.transport().peek(&mut [0]).is_ok()), "never brought");
+    w.proxy.bounds.clients = 2;
+    w.proxy.make_room();
+    w.ends_well(&mut idle);
+    assert_eq!(w.frame(&mut used).0, 2);
+    assert!(w.proxy.clients.get(&used_token).is_some_and(|client| client.conn.is_open()));
+}
+
+/// Guards against a reset, and a request without its answer, where a standby ends what is not whole.
+#[test]
+fn a_request_that_has_come_is_answered_before_a_standby_ends_its_connection() {
+    let mut w = World::new();
+    let mut client = w.client();
+    client.put(&frame(1, 0, &fields(&[])));
+    assert_eq!(w.frame(&mut client).0, 2);
+    assert_eq!(w.call("standby\n"), "done standby\n");
+    assert_eq!(w.frame(&mut client).0, 3);
+    let bytes = request(1, 1, "clip");
+    client.put(&bytes[..20]);
+    w.until("the half", |d| d.clients.values().any(|c| c.conn.has_partial_message()).then_some(()));
+    w.late(3_600 * MILLISECOND);
+    client.put(&bytes[20..]);
+    w.brought();
+    w.proxy.sweep();
+    assert_eq!(w.frame(&mut client).2[0], 50, "refused, not lost");
+    w.ends_well(&mut client);
+}
+
 /// A request that crosses the close finds an end, no reset, and is not sent on. Seen failing with `close` in place of
 /// `finish` in `finish_client`.
 #[test]
