Clients: a request too large for its time is refused alone

What callers saw: a request whose size no transfer could bring in four times its class's deadline ended its connection with an error, and the requests sent meanwhile were lost.

Cause: check_request took such a size for a breach, to keep it out of the estimates of load. The protocol knows no such breach.

Change: it is refused at once, without advice to come again and without an attempt; its connection goes on.

Result: a_request_too_large_for_its_time_is_rejected_alone_and_its_connection_goes_on fails without the change and passes with it.

--- a/src/config/settings/checks.rs
+++ b/src/config/settings/checks.rs
@@ -7,7 +7,7 @@
 use thiserror::Error;
 
 /// Longest time that settings may give: a day. Sums of times must not overflow.
-pub(super) const MAX_TIME_US: Micros = 86_400_000_000;
+pub(crate) const MAX_TIME_US: Micros = 86_400_000_000;
 /// Largest stretch of a latency objective.
 const MAX_STRETCH: f64 = 1e6;
 
--- a/src/config/settings/mod.rs
+++ b/src/config/settings/mod.rs
@@ -14,6 +14,7 @@
 mod translation;
 
 pub use self::checks::InvalidSetting;
+pub(crate) use self::checks::MAX_TIME_US;
 pub use self::classes::{ClassLookup, ClassTable, DROPPED_CLASS_KNOWN_FOR_US, DROPPED_CLASS_SERVED_FOR_US};
 pub use self::keys::key_paths;
 
--- a/src/net/protocol/malformed.rs
+++ b/src/net/protocol/malformed.rs
@@ -67,7 +67,7 @@
     /// A request's client waits for no time, or longer than its class could mean.
     #[error("patience out of range")]
     TimeoutRange,
-    /// A request's size could not be sent in its time.
+    /// A request's size could not be sent in any time that settings may give.
     #[error("size out of range")]
     SizeRange,
     /// A request of a class with idempotency keys has none.
--- a/src/proxy/clients.rs
+++ b/src/proxy/clients.rs
@@ -6,7 +6,7 @@
 use super::message_buffer::MessageBuffer;
 use super::timers::MILLISECOND;
 use super::Proxy;
-use crate::config::settings::{ClassLookup, Document};
+use crate::config::settings::{ClassLookup, Document, MAX_TIME_US};
 use crate::lifecycle::{IdleConnection, Lifecycle};
 use crate::net::connection::{Connection, State};
 use crate::net::event_loop::Ready;
@@ -18,6 +18,7 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 use slog::warn;
 
+const MICROS_PER_S: f64 = 1e6;
 /// Requests that may be open on one connection.
 const MAX_OPEN_STREAMS: usize = 32;
 /// Requests of one connection that may be cancelled beyond those that are answered.
@@ -187,6 +188,27 @@
     }
 }
 
+/// The longest that a client may wait for a request of a class with this deadline.
+fn longest_timeout(deadline: Micros) -> Micros {
+    deadline.saturating_mul(MAX_TIMEOUT_FACTOR)
+}
+
+/// How long one transfer of a size takes, in microseconds; 0 where the settings do not tell its pace.
+fn transfer_time_us(size_kb: f64, settings: &Document) -> f64 {
+    let pace_kb_per_s = settings.domain.flow_kb_per_s;
+    if pace_kb_per_s > 0.0 {
+        size_kb / pace_kb_per_s * MICROS_PER_S
+    } else {
+        0.0
+    }
+}
+
+/// Whether a transfer of a size ends before even the most patient client of a class with this deadline gives up. A
+/// request of which no transfer does is well-formed, and is rejected on its own.
+pub(super) fn can_transfer_in_time(size_kb: f64, deadline: Micros, settings: &Document) -> bool {
+    transfer_time_us(size_kb, settings) <= longest_timeout(deadline) as f64
+}
+
 /// Checks that the settings know a request and that its client can mean it. `may_lack_key`: the settings by which it
 /// was made may not have asked for a key.
 fn check_request(
@@ -200,13 +222,10 @@
         ClassLookup::Dropped => return Ok(()),
         ClassLookup::Unknown => return Err(Malformed::UnknownRoute),
     };
-    let longest = deadline.saturating_mul(MAX_TIMEOUT_FACTOR);
-    if request.timeout_ms == 0 || request.timeout_ms.saturating_mul(MILLISECOND) > longest {
+    if request.timeout_ms == 0 || request.timeout_ms.saturating_mul(MILLISECOND) > longest_timeout(deadline) {
         return Err(Malformed::TimeoutRange);
     }
-    // The size goes into the estimates of load: one that no transfer could bring in time would spoil them.
-    let transfer_us = request.size_kb / settings.domain.flow_kb_per_s * 1e6;
-    if settings.domain.flow_kb_per_s > 0.0 && transfer_us > longest as f64 {
+    if transfer_time_us(request.size_kb, settings) > MAX_TIME_US as f64 {
         return Err(Malformed::SizeRange);
     }
     if class.idempotency == Idempotency::WithKey && request.idempotency_key.is_none() && !may_lack_key {
--- a/src/proxy/requests.rs
+++ b/src/proxy/requests.rs
@@ -4,6 +4,7 @@
 //! most one attempt at a time. It outlives its response while an attempt goes on, so that the router hears how that
 //! one ended.
 
+use super::clients::can_transfer_in_time;
 use super::timers::{TimerEvent, MILLISECOND};
 use super::Proxy;
 use crate::admin::End;
@@ -245,8 +246,12 @@
         self.admin_metrics.took();
         let needs_key = |class: &Class| class.idempotency == Idempotency::WithKey;
         let lacks_key = |class: &Class| needs_key(class) && request.idempotency_key.is_none();
-        let Some((class, settings)) = named.class().filter(|named| !lacks_key(named.1)) else {
-            // Its class was dropped, or wants a key by now: a retry, whenever, would fare no better.
+        let is_too_large = matches!(named, ClassLookup::Found { deadline, .. }
+            if !can_transfer_in_time(request.size_kb, deadline, &self.settings));
+        let admissible = named.class().filter(|named| !is_too_large && !lacks_key(named.1));
+        let Some((class, settings)) = admissible else {
+            // Its class was dropped or wants a key by now, or no transfer could bring it in time: a retry, whenever,
+            // would fare no better, and its size would spoil the estimates of load.
             self.write_unadmitted(client, stream, &Response::Rejected { retry_after_ms: 0 });
             return self.admin_metrics.ended(metrics_class, End::Overload);
         };
--- a/src/proxy/tests/requests.rs
+++ b/src/proxy/tests/requests.rs
@@ -32,6 +32,27 @@
     assert_eq!(w.codes(), [(AttemptStatus::Reset, false)]);
 }
 
+/// Guards the other requests of a connection: a request that no transfer could bring in time breaks no protocol.
+#[test]
+fn a_request_too_large_for_its_time_is_rejected_alone_and_its_connection_goes_on() {
+    // At this pace the 412.5 KB of a request take 2 s.
+    let mut w = World::with(|c| {
+        c["settings"]["domain"]["flow-kb-per-s"] = 200.0.into();
+        c["settings"]["classes"][0]["deadline-us"] = 400_000.into();
+    });
+    let mut client = w.client();
+    client.put(&[request(1, 1, "page"), request(2, 2, "clip")].concat());
+    let mut cache = w.cache();
+    assert_eq!(w.command(&mut cache)[1], trace(1));
+    assert_eq!(w.frame(&mut client), (8, 2, vec![50, 0]), "refused at once, without advice to come again");
+    assert_eq!((w.proxy.metrics.attempts, w.proxy.metrics.client_protocol_errors), (1, 0));
+    cache.put(&answer(&trace(1), "ok", "-", "x"));
+    assert_eq!(w.frame(&mut client), (8, 1, b"\x14\x00x".to_vec()));
+    client.put(&request(3, 3, "page"));
+    assert_eq!(w.command(&mut cache)[1], trace(3));
+    assert_eq!(w.open_clients(), 1);
+}
+
 #[test]
 fn a_current_copy_of_the_client_is_answered_without_a_body() {
     let mut w = World::new();
