Clients: requests cancelled while nobody read them are no breach

What callers saw: a client that takes back each request that timed out, as the protocol asks, was refused as one that "takes back again and again" when the process had not run meanwhile: more than 64 such pairs lay unread.

Cause: each cancellation of a request that the same turn had begun counted as an attempt that was given up, though nothing had been sent for it.

Change: those of one turn count as one.

Result: requests_cancelled_while_the_process_was_stopped_are_no_breach fails without the change and passes with it; the bound on clients that take back again and again holds as before (its test, unchanged, three times).

--- a/src/proxy/clients.rs
+++ b/src/proxy/clients.rs
@@ -75,6 +75,8 @@
     begun: FxHashMap<u32, usize>,
     cancelled: FxHashSet<u32>,
     open: usize,
+    /// A cancellation of a request that the same turn has begun was counted.
+    has_counted_begun: bool,
 }
 
 impl Client {
@@ -134,6 +136,7 @@
             begun: FxHashMap::default(),
             cancelled: FxHashSet::default(),
             open: self.open_streams.len(),
+            has_counted_begun: false,
         };
         for message in messages {
             match &message {
@@ -162,16 +165,20 @@
         valid
     }
 
-    /// Counts a cancellation, and takes a request of the same turn out of the messages.
+    /// Counts a cancellation, and takes a request of the same turn out of the messages. All of these together count as
+    /// one: they cost nothing but their reading, and many come at once where the process was stopped for a while.
     fn note_cancel(&mut self, stream: u32, streams: &mut TurnStreams, messages: &mut [ClientMessage]) {
         let is_known = streams.begun.contains_key(&stream) || self.open_streams.contains_key(&stream);
-        if is_known && streams.cancelled.insert(stream) {
+        let is_first = is_known && streams.cancelled.insert(stream);
+        if is_first {
             streams.open -= 1;
-            self.unanswered_cancels += 1;
         }
         if let Some(place) = streams.begun.remove(&stream) {
             // A cancellation of no stream takes its place, so that the places of the others stay right.
             messages[place] = ClientMessage::Cancel { stream: 0 };
+            self.unanswered_cancels += u32::from(!std::mem::replace(&mut streams.has_counted_begun, true));
+        } else if is_first {
+            self.unanswered_cancels += 1;
         }
     }
 
--- a/src/proxy/tests/pauses.rs
+++ b/src/proxy/tests/pauses.rs
@@ -18,6 +18,22 @@
     assert!(has(&want, "fresh=1000"), "{want:?}");
 }
 
+/// Guards a client whose requests timed out while nobody read them: it took back each, as the protocol asks.
+#[test]
+fn requests_cancelled_while_the_process_was_stopped_are_no_breach() {
+    let mut w = World::new();
+    let last = 3 * MAX_UNANSWERED_CANCELS;
+    let cancelled = |stream| [request(stream, stream, "clip"), frame(9, stream, &[])].concat();
+    let mut client = w.client();
+    let backlog: Vec<u8> = (1..last).flat_map(cancelled).chain(request(last, last, "clip")).collect();
+    client.put(&backlog);
+    let mut cache = w.cache();
+    assert_eq!(w.command(&mut cache)[1], trace(last));
+    cache.put(&answer(&trace(last), "ok", "-", "x"));
+    assert_eq!(w.frame(&mut client), (8, last, b"\x14\x00x".to_vec()));
+    assert_eq!(w.proxy.metrics.client_protocol_errors, 0);
+}
+
 /// Guards against timers that are judged by a poll from before they were due.
 #[test]
 fn a_timer_that_comes_due_during_the_wait_is_left_to_the_next_turn() {
