Stand-in clients keep to 32 open requests when an instance stops for long

Cause: in the test's world. A client of test-support forgot a request 1 s after its patience without taking it back, and sent others in its place. Whoever is stopped for 3.5 s or more finds more than 32 open requests on one connection, which the protocol forbids, answers those, and closes. The test stops its planner until another leads: 3.0 s on a free machine, more beside builds.

Change: a connection holds at most 32 requests that have no answer and were not taken back, awaited or not.

--- a/crates/test-support/src/world/load.rs
+++ b/crates/test-support/src/world/load.rs
@@ -5,7 +5,7 @@
 use crate::clients::{Client, Wish};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -77,10 +77,19 @@
     of: HashMap<u32, usize>,
     /// Until when the answer on a stream is awaited.
     open: HashMap<u32, u64>,
+    /// Streams without an answer that were not taken back: the protocol bounds these, awaited or not.
+    unanswered: HashSet<u32>,
     /// Streams that nobody waits for from then on, and whether that closes the connection.
     leaves: Vec<(u64, u32, bool)>,
 }
 
+impl Conn {
+    fn new(client: Client) -> Self {
+        let (of, open, unanswered, leaves) = Default::default();
+        Conn { client, of, open, unanswered, leaves }
+    }
+}
+
 struct Clients {
     load: Load,
     began: Instant,
@@ -146,6 +155,7 @@
         conn.of.insert(stream, self.all.len());
         let sent = self.began.elapsed().as_micros() as u64;
         conn.open.insert(stream, sent + of.patience_ms * 1000 + BEYOND);
+        conn.unanswered.insert(stream);
         let gives_up = self.load.habits.gives_up;
         if gives_up > 0.0 && self.rng.random::<f64>() < gives_up {
             let after = (self.rng.random::<f64>() * (of.patience_ms * 1000) as f64) as u64;
@@ -157,7 +167,7 @@
 
     fn connection(&mut self) -> Option<usize> {
         let stays = self.load.habits.stays;
-        let free = self.conns.iter().position(|c| c.open.len() < OPEN && (stays || !c.client.is_left));
+        let free = self.conns.iter().position(|c| c.unanswered.len() < OPEN && (stays || !c.client.is_left));
         let now = self.now();
         let dials = self.load.habits.dials.load(Ordering::SeqCst);
         if free.is_some() || !dials || self.conns.len() >= CONNECTIONS || now < self.redial {
@@ -165,8 +175,7 @@
         }
         match Client::connect(self.load.address) {
             Ok(client) => {
-                let (of, open, leaves) = (HashMap::new(), HashMap::new(), Vec::new());
-                self.conns.push(Conn { client, of, open, leaves });
+                self.conns.push(Conn::new(client));
             }
             Err(_) => {
                 self.redial = now + REDIAL;
@@ -178,11 +187,12 @@
 
     fn hear(&mut self) {
         let (began, all, stays) = (self.began, &mut self.all, self.load.habits.stays);
-        self.conns.retain_mut(|Conn { client, of, open, leaves }| {
+        self.conns.retain_mut(|Conn { client, of, open, unanswered, leaves }| {
             let alive = matches!(client.poll(), Ok(true));
             let now = began.elapsed().as_micros() as u64;
             for heard in &client.heard {
                 open.remove(&heard.stream);
+                unanswered.remove(&heard.stream);
                 // Stream 0 tells of the connection.
                 if let Some(&at) = of.get(&heard.stream) {
                     all[at].answers.push(Answer { at: now, code: heard.code, pause_ms: heard.pause_ms });
@@ -196,6 +206,7 @@
             let mut closes = false;
             for (_, stream, ends) in leaves.extract_if(.., |l| l.0 <= now) {
                 if alive && open.remove(&stream).is_some() && client.forget(stream).is_ok() {
+                    unanswered.remove(&stream);
                     all[of[&stream]].left = Some(began.elapsed().as_micros() as u64);
                     closes |= ends;
                 }
