Turn: sources of the endpoint list are heard before upstreams

What callers would see: an endpoint whose drain was told while the process was stopped still got the attempts that waited for a dial to it, seconds later than the protocol allows.

Cause: command channel and registry were heard in no order among the upstreams of a turn.

Change: InputOrder has a place of its own for them.

--- a/src/net/command_channel.rs
+++ b/src/net/command_channel.rs
@@ -264,6 +264,11 @@
         }
     }
 
+    /// Whether bytes have come that were not read.
+    pub fn has_pending_input(&mut self) -> bool {
+        self.connection.as_mut().is_some_and(|(_, connection)| connection.has_pending_input())
+    }
+
     /// Whether there is more to read than one turn took.
     pub fn needs_read(&self) -> bool {
         self.connection.as_ref().is_some_and(|(_, connection)| connection.needs_read())
--- a/src/proxy/discovery.rs
+++ b/src/proxy/discovery.rs
@@ -106,6 +106,12 @@
         Some(next)
     }
 
+    /// Whether a token is of a source of the list.
+    pub(super) fn owns(&self, token: Token) -> bool {
+        self.is_command_channel(token)
+            || self.registry.as_ref().is_some_and(|registry| registry.token() == Some(token))
+    }
+
     /// Whether a token is the command channel's.
     pub(super) fn is_command_channel(&self, token: Token) -> bool {
         self.command_channel.token() == Some(token)
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -73,12 +73,13 @@
     Operators,
     /// What is purged binds all that is decided after it.
     PurgeLog,
+    /// Nothing goes to an endpoint whose drain came in the same turn.
+    Discovery,
     /// Clients that leave come before the upstreams, whose responses would lead to further attempts.
     DepartingClient,
-    /// Upstreams, lists of endpoints, new connections.
+    /// Upstreams, new connections and the rest.
     Upstream,
-    /// Clients that ask come last: nothing goes to an endpoint whose drain, or on a connection whose end, came in the
-    /// same turn.
+    /// Clients that ask come last: nothing goes on a connection whose end came in the same turn.
     Client,
 }
 
@@ -199,6 +200,9 @@
         if self.purge_log().is_some_and(|purge_log| purge_log.token() == Some(event.token)) {
             return InputOrder::PurgeLog;
         }
+        if self.discovery.owns(event.token) {
+            return InputOrder::Discovery;
+        }
         match (self.clients.contains(&event.token), event.ended) {
             (true, true) => InputOrder::DepartingClient,
             (false, _) => InputOrder::Upstream,
--- a/src/proxy/tests/command_channel.rs
+++ b/src/proxy/tests/command_channel.rs
@@ -9,7 +9,7 @@
 const SOON: Micros = 1_250 * MILLISECOND;
 
 /// A frame of the command channel.
-fn event(number: u64, kind: u8, payload: &[u8]) -> Vec<u8> {
+pub(super) fn event(number: u64, kind: u8, payload: &[u8]) -> Vec<u8> {
     let mut out = (payload.len() as u32 + 9).to_be_bytes().to_vec();
     out.extend(number.to_be_bytes());
     out.push(kind);
@@ -27,11 +27,11 @@
 
 /// States of an endpoint.
 const READY: u8 = 0;
-const DRAINS: u8 = 1;
+pub(super) const DRAINS: u8 = 1;
 const GONE: u8 = 2;
 
 /// What the list says of an endpoint: `s-` with this number, a box in the first zone.
-fn record(id: u32, listener: &StdListener, state: u8) -> Vec<u8> {
+pub(super) fn record(id: u32, listener: &StdListener, state: u8) -> Vec<u8> {
     let mut out = id.to_be_bytes().to_vec();
     out.extend([127, 0, 0, 1]);
     out.extend(listener.local_addr().unwrap().port().to_be_bytes());
@@ -50,7 +50,7 @@
     }
 
     /// One that has brought its first frame.
-    fn watched() -> (World, Peer) {
+    pub(super) fn watched() -> (World, Peer) {
         let mut w = World::new();
         let (mut channel, cursor) = w.watch();
         assert_eq!(cursor, CURSOR);
--- a/src/proxy/tests/pauses.rs
+++ b/src/proxy/tests/pauses.rs
@@ -1,8 +1,17 @@
 //! A process that was stopped and goes on: what came meanwhile is read before anybody is judged for his silence.
 
+use super::command_channel::{event, record, DRAINS};
 use super::purge_log::vouching;
 use super::*;
 
+impl World {
+    /// Waits until the machine has brought what the command channel told last, without a turn of the instance's.
+    fn discovery_brought(&mut self) {
+        let told = &mut self.proxy.discovery.command_channel;
+        assert!((0..1_000_000).any(|_| told.has_pending_input()), "never brought");
+    }
+}
+
 /// Guards against a request that is decided by what the purge log vouched for before a pause.
 #[test]
 fn after_a_pause_a_request_is_bound_by_the_purge_log_before_it_is_decided() {
@@ -33,6 +42,21 @@
     assert_eq!(w.codes(), [(AttemptStatus::Cancelled, true)]);
 }
 
+/// Guards against an attempt to an endpoint whose drain was told long ago, while nobody read.
+#[test]
+fn a_drain_told_while_the_process_was_stopped_binds_before_a_dial_that_is_up() {
+    let (mut w, mut channel) = World::watched();
+    let mut client = w.client();
+    client.put(&request(1, 1, "clip"));
+    w.until("the dial", |d| (d.pool.len() == 1).then_some(()));
+    let mut cache = w.cache();
+    let cursor = w.proxy.discovery.command_channel.cursor();
+    channel.put(&event(cursor + 1, 2, &record(1, &w.cache, DRAINS)));
+    w.discovery_brought();
+    w.silent(&mut cache);
+    assert!(!w.proxy.discovery.membership.accepts_requests(CACHE), "its drain was heard");
+}
+
 /// Guards a client whose requests timed out while nobody read them: it took back each, as the protocol asks.
 #[test]
 fn requests_cancelled_while_the_process_was_stopped_are_no_breach() {
