--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -2,8 +2,8 @@
 //! read.
 
 use super::events::{
-    AttemptStatus, CacheStatus, Class, DeduplicationScope, Endpoint, EndpointState, Event, Idempotency,
-    Micros, Outcome, OutcomeDetail, Request, Role, Settings, SlowStart,
+    Action, AttemptStatus, CacheStatus, Class, DeduplicationScope, Endpoint, EndpointState, Event,
+    Idempotency, Micros, Outcome, OutcomeDetail, Request, Role, Settings, SlowStart,
 };
 use super::Router;
 
@@ -88,20 +88,8 @@
         now += 10 * MS;
         actions.clear();
         router.endpoints.lookups.take();
-        let request = request(number);
-        let id = request.id.clone();
-        router.handle(now, Event::Request(request), &mut actions);
-        let outcome = Outcome {
-            request: id,
-            attempt: 0,
-            status: AttemptStatus::Served,
-            is_final: true,
-            elapsed: 20 * MS,
-            fill_wait: 0,
-            cache_status: CacheStatus::Hit,
-            load_report: None,
-        };
-        router.handle(now, Event::Outcome(outcome), &mut actions);
+        router.handle(now, Event::Request(request(number)), &mut actions);
+        router.handle(now, Event::Outcome(ended(number, AttemptStatus::Served)), &mut actions);
         by_request = by_request.max(router.endpoints.lookups.take());
         router.endpoints.lookups.take();
         let mut changed = member(number as usize, servers);
@@ -127,3 +115,59 @@
         }
     }
 }
+
+/// Guards an endpoint that is new against the end of an attempt at another one: the place of that one, which was removed
+/// while the attempt was out and counted as lost, must not be given away.
+#[test]
+fn the_place_of_a_removed_endpoint_stays_its_own_while_an_attempt_is_out_there() {
+    let mut router = Router::new(settings(false), 7);
+    let mut actions = Vec::new();
+    let mut now = 100 * S;
+    let (cache, origin) = (member(0, 2), member(1, 2));
+    router.handle(
+        now,
+        Event::Endpoints { complete: true, endpoints: vec![cache.clone(), origin] },
+        &mut actions,
+    );
+    router.handle(now, Event::Request(request(1)), &mut actions);
+    let overdue = actions.iter().find_map(|action| match action {
+        Action::Timer { at, token } => Some((*at, *token)),
+        _ => None,
+    });
+    let (overdue_at, overdue_token) = overdue.expect("the answer's time is watched");
+    // Another request at the same endpoint is answered, so the first answer counts as lost once it is late.
+    now += 10 * MS;
+    router.handle(now, Event::Request(request(2)), &mut actions);
+    now += 10 * MS;
+    router.handle(now, Event::Outcome(ended(2, AttemptStatus::Served)), &mut actions);
+    now = now.max(overdue_at);
+    router.handle(now, Event::Timer { token: overdue_token }, &mut actions);
+    let place = router.endpoints.find(&cache.id).expect("it is listed");
+    assert!(router.endpoints[place].concurrency.in_flight.is_empty(), "its capacity is released");
+    let removed = Endpoint { state: EndpointState::Removed, ..cache };
+    router.handle(now, Event::Endpoints { complete: false, endpoints: vec![removed] }, &mut actions);
+    let new = Endpoint { id: "s-0000beef".into(), ..member(0, 2) };
+    let new_id = new.id.clone();
+    router.handle(now, Event::Endpoints { complete: false, endpoints: vec![new] }, &mut actions);
+    assert_ne!(router.endpoints.find(&new_id), Some(place), "given to another endpoint");
+    router.handle(now + MS, Event::Outcome(ended(1, AttemptStatus::TimedOut)), &mut actions);
+    // Once the attempt has ended the place is free.
+    let next = Endpoint { id: "s-0000cafe".into(), ..member(0, 2) };
+    let next_id = next.id.clone();
+    router.handle(now + MS, Event::Endpoints { complete: false, endpoints: vec![next] }, &mut actions);
+    assert_eq!(router.endpoints.find(&next_id), Some(place));
+}
+
+/// The only attempt of a request has ended, and with it the request.
+fn ended(number: u64, status: AttemptStatus) -> Outcome {
+    Outcome {
+        request: request(number).id,
+        attempt: 0,
+        status,
+        is_final: true,
+        elapsed: 20 * MS,
+        fill_wait: 0,
+        cache_status: CacheStatus::Hit,
+        load_report: None,
+    }
+}
