Failover: a reload hands the warm-up time to the failure detector

What callers would see: after a SIGHUP that makes the warm-up time longer a site that returns has its full traffic after the old time.

Cause: only SiteFailover::new handed it on.

Change: reconfigure does too.

Result: a_reload_that_changes_the_warm_up_time_reaches_the_failure_detector fails without the change and passes with it.

--- a/src/proxy/failover.rs
+++ b/src/proxy/failover.rs
@@ -2,6 +2,9 @@
 //! fleet (`fleet.rs`, which owns this). How attempts ended, the list of endpoints and the notes of peers go in;
 //! constraints for the router, this instance's part of its own note and log lines come out. It decides nothing itself.
 
+#[cfg(test)]
+mod tests;
+
 use super::fleet_context::{Endpoints, FleetContext, PeerNote};
 use crate::config::settings::Document;
 use crate::failover::failure_detector::Transition;
@@ -137,9 +140,10 @@
     }
 
     /// Takes other settings; new plans follow.
-    pub fn reconfigure(&mut self, settings: &Settings, now: Micros) {
+    pub fn reconfigure(&mut self, settings: &Settings, document: &Document, now: Micros) {
         // The next turn reads the states themselves: the changes need not be handed on.
         self.failure_detector.reconfigure(settings.clone(), &mut Vec::new());
+        (0..self.zone_count).for_each(|zone| self.failure_detector.set_warm_up(zone, warm_up(document)));
         self.settings = settings.clone();
         self.replan_at = Some(now);
     }
--- a/src/proxy/fleet.rs
+++ b/src/proxy/fleet.rs
@@ -9,6 +9,7 @@
 use super::timers::{TimerEvent, MILLISECOND};
 use super::Proxy;
 use crate::config::product::Product;
+use crate::config::settings::Document;
 use crate::failover::site_report::SiteReport;
 use crate::net::event_loop::{EventLoop, Ready};
 use crate::placement::error::PlacementError;
@@ -84,9 +85,9 @@
     }
 
     /// Takes over new settings, all but those that take a restart: whether a part is on, and where its registry is.
-    fn reconfigure(&mut self, product: &Product, now: Micros, log: &Logger) {
+    fn reconfigure(&mut self, product: &Product, document: &Document, now: Micros, log: &Logger) {
         if let (Some(failover), Some(new)) = (&mut self.failover, &product.site_plan) {
-            failover.reconfigure(new, now);
+            failover.reconfigure(new, document, now);
         }
         if let (Some(rebalancer), Some(new)) = (&mut self.rebalancer, &product.shards) {
             if !rebalancer.reconfigure(new, &product.calendar) {
@@ -220,7 +221,7 @@
             return warn!(self.log, "quiet hours of the shards not changed"; "error" => %error);
         }
         let Some(fleet) = &mut self.fleet else { return };
-        fleet.reconfigure(product, self.now, &self.log);
+        fleet.reconfigure(product, &self.settings, self.now, &self.log);
         self.schedule_fleet_turn(self.now);
     }
 
