--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 SEEDS ?= 50
 FROM ?= 1
 soak:
-	SOAK_SEEDS=$(SEEDS) SOAK_FROM=$(FROM) cargo test --locked --test soak -- --nocapture
+	SOAK_SEEDS=$(SEEDS) SOAK_FROM=$(FROM) cargo test --locked --test soak --test soak_pauses -- --nocapture
 
 # The proxy of the configuration that PROXY_CONFIG names, or else of the example.
 run: build
