Tests: what a pause of 0.5 to 30 s does to clients, upstreams, channel, gossip, detector

Each held before but for the loop's order, and was seen to fail with a planted fault: timers before input (answer, message, channel), an answered probe taken for none (gossip), a run of failures that begins with the last success (detector). Gossip reads in one turn what a socket's buffer holds: 512 datagrams (128 before), so that nobody is judged by half of it.

--- a/src/failover/failure_detector/tests.rs
+++ b/src/failover/failure_detector/tests.rs
@@ -323,3 +323,22 @@
         }
     }
 }
+
+/// Guards a site against an instance that was stopped: time in which nobody was tried is no time of failures.
+#[test]
+fn after_a_pause_attempts_that_ran_out_meanwhile_speak_against_no_site_yet() {
+    for pause in [S / 2, 5 * S, 30 * S] {
+        let (mut detector, mut transitions) = (detector(0, 0), Vec::new());
+        for n in 0..30 {
+            detector.record_attempt(S, n, n as usize / 10, AttemptOutcome::InTime);
+        }
+        detector.evaluate(S, &mut transitions);
+        let woken = S + pause;
+        for n in 10..20 {
+            detector.record_attempt(woken, n, 1, AttemptOutcome::TimedOut);
+        }
+        detector.record_attempt(woken, 0, 0, AttemptOutcome::InTime);
+        detector.evaluate(woken, &mut transitions);
+        assert_eq!(transitions, [], "after {pause}");
+    }
+}
--- a/src/gossip/tests.rs
+++ b/src/gossip/tests.rs
@@ -323,3 +323,34 @@
         assert_eq!(g.notes(0).any(|n| n.member == 2), second <= 60, "{second}");
     }
 }
+
+/// Guards the others against an instance that was stopped: it accuses nobody whose answer or denial lay in its socket.
+#[test]
+fn after_a_pause_nobody_is_accused_who_was_heard_meanwhile() {
+    for pause in [S / 2, 5 * S, 30 * S] {
+        let mut gossip = Gossip::new(Config::of(0, 5), 7, 1, S);
+        let mut actions = Vec::new();
+        gossip.suspect(S, 4, 9, 3, &mut actions);
+        actions.clear();
+        gossip.tick(S, &mut actions);
+        let pinged = actions.iter().find_map(|action| match action {
+            Action::Send { to, bytes } => match decode(bytes).unwrap().head.kind {
+                Kind::Ping(sequence) if *to != 4 => Some((*to, sequence)),
+                _ => None,
+            },
+            _ => None,
+        });
+        let woken = S + pause;
+        let mut heard: Vec<(MemberId, Head)> = vec![(4, Head { incarnation: 10, kind: Kind::Updates })];
+        heard.extend(pinged.map(|(to, sequence)| (to, Head { incarnation: 9, kind: Kind::Ack(sequence) })));
+        actions.clear();
+        for (from, head) in heard {
+            gossip.received(woken, from, &encode(&head, [], &[]).bytes, &mut actions).unwrap();
+        }
+        gossip.tick(woken, &mut actions);
+        let is_accusation =
+            |action: &&Action| matches!(action, Action::Changed { state, .. } if *state > State::Alive);
+        assert_eq!(actions.iter().find(is_accusation), None, "after {pause}");
+        assert_eq!(gossip.by_state(), [5, 0, 0, 0]);
+    }
+}
--- a/src/proxy/gossip.rs
+++ b/src/proxy/gossip.rs
@@ -23,8 +23,9 @@
 const MICROS_PER_S: f64 = 1e6;
 /// Datagrams that may wait to be sent; beyond, the oldest is dropped: its updates are the least news.
 const MAX_QUEUED_DATAGRAMS: usize = 64;
-/// Datagrams received in one turn.
-const MAX_RECEIVED_PER_TURN: usize = 128;
+/// Datagrams received in one turn: more than a socket's buffer holds, so that nobody is judged before all that came is
+/// read.
+const MAX_RECEIVED_PER_TURN: usize = 512;
 /// Part of a second for which the budget may be saved up.
 const SAVED_BUDGET_S: f64 = 0.25;
 
--- a/src/proxy/tests/pauses.rs
+++ b/src/proxy/tests/pauses.rs
@@ -4,7 +4,18 @@
 use super::purge_log::vouching;
 use super::*;
 
+/// Short ones, one longer than a message may take, and longer ones than a connection may be idle.
+const PAUSES: [Micros; 4] =
+    [500 * MILLISECOND, 3_000 * MILLISECOND, 5_000 * MILLISECOND, 30_000 * MILLISECOND];
+
 impl World {
+    /// Waits until the machine has brought what its one upstream wrote last, without a turn of the instance's.
+    fn upstream_brought(&mut self) {
+        let token = *self.proxy.pool.iter().next().unwrap().0;
+        let upstream = self.proxy.pool.get_mut(token).unwrap();
+        assert!((0..1_000_000).any(|_| upstream.conn.has_pending_input()), "never brought");
+    }
+
     /// Waits until the machine has brought what the command channel told last, without a turn of the instance's.
     fn discovery_brought(&mut self) {
         let told = &mut self.proxy.discovery.command_channel;
@@ -92,3 +103,50 @@
     w.proxy.turn().unwrap();
     assert!(!is_set(&w));
 }
+
+/// Guards an endpoint that answered in time, and its connection, against a process that did not read the answer in time.
+#[test]
+fn an_answer_that_came_during_a_pause_is_the_answer() {
+    for pause in PAUSES {
+        let mut w = World::new();
+        let (mut client, mut cache, _) = w.asked();
+        cache.put(&answer(&trace(1), "ok", "-", "x"));
+        w.upstream_brought();
+        w.skip(pause);
+        assert_eq!(w.frame(&mut client), (8, 1, b"\x14\x00x".to_vec()));
+        assert_eq!(w.codes(), [(AttemptStatus::Served, true)]);
+        assert_eq!(w.proxy.pool.len(), 1, "its connection is kept");
+    }
+}
+
+/// Guards the command channel against being dialed anew after each pause.
+#[test]
+fn a_command_channel_that_went_on_during_a_pause_is_not_silent() {
+    for pause in PAUSES {
+        let (mut w, mut channel) = World::watched();
+        let cursor = w.proxy.discovery.command_channel.cursor();
+        channel.put(&event(cursor, 0, &[]));
+        w.discovery_brought();
+        w.skip(pause);
+        w.silent(&mut channel);
+        let metrics = w.proxy.discovery.command_channel.metrics();
+        assert_eq!((metrics.opened, metrics.timeouts, metrics.lost), (1, 0, 0), "after {pause}");
+    }
+}
+
+/// Guards a client that was in the middle of a message when the process was stopped.
+#[test]
+fn a_message_that_was_ended_during_a_pause_is_not_overdue() {
+    for pause in PAUSES {
+        let mut w = World::new();
+        let mut client = w.client();
+        let bytes = request(1, 1, "clip");
+        client.put(&bytes[..20]);
+        w.until("the half", |d| d.clients.values().any(|c| c.conn.has_partial_message()).then_some(()));
+        client.put(&bytes[20..]);
+        w.brought();
+        w.skip(pause);
+        let mut cache = w.cache();
+        assert_eq!(w.command(&mut cache)[1], trace(1), "after {pause}");
+    }
+}
