--- a/src/purges/tests.rs
+++ b/src/purges/tests.rs
@@ -2,7 +2,10 @@
 
 use super::*;
 use crate::net::testing::config;
+use crate::routing::events::Micros;
 use proptest::prelude::*;
+use std::sync::Arc;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 fn tag(n: u8) -> Arc<str> {
     format!("t{n}").into()
@@ -12,12 +15,12 @@
     Purge { number: when, when, until: when + term, covers }
 }
 
-fn wanted<'a>(object: u64, name: &'a str, tags: Option<&'a [Arc<str>]>) -> Wanted<'a> {
-    Wanted { object, group: object % 3, name, tags }
+fn wanted<'a>(object: u64, name: &'a str, tags: Option<&'a [Arc<str>]>) -> RequestedObject<'a> {
+    RequestedObject { object, group: object % 3, name, tags }
 }
 
 /// What the purges ask for, one by one.
-fn plain(purges: &[Purge], w: &Wanted, now: Micros) -> Option<Micros> {
+fn plain(purges: &[Purge], w: &RequestedObject, now: Micros) -> Option<Micros> {
     let covers = |c: &Cover| match c {
         Cover::Object(o) => *o == w.object,
         Cover::Group(g) => *g == w.group,
@@ -55,13 +58,13 @@
     prop::collection::vec(one, 0..12)
 }
 
-fn state(purges: &[Purge], room: Room) -> InForce {
+fn state(purges: &[Purge], room: Capacity) -> InForce {
     let mut state = InForce::new(room);
     purges.iter().for_each(|p| state.apply(p).unwrap());
     state
 }
 
-fn all_wanted(check: impl Fn(Wanted)) {
+fn all_wanted(check: impl Fn(RequestedObject)) {
     let tags = [vec![], vec![tag(1)], vec![tag(2), tag(5)]];
     for object in 0..14 {
         let name = format!("{}-{object}", if object % 2 == 0 { "scan" } else { "clip" });
@@ -70,8 +73,8 @@
     }
 }
 
-const ROOM: Room = Room { objects: 100, tags: 100, patterns: 100 };
-const SMALL: Room = Room { objects: 2, tags: 2, patterns: 1 };
+const ROOM: Capacity = Capacity { objects: 100, tags: 100, patterns: 100 };
+const SMALL: Capacity = Capacity { objects: 2, tags: 2, patterns: 1 };
 
 proptest! {
     #![proptest_config(config())]
@@ -115,7 +118,7 @@
 
 #[test]
 fn a_purge_repeated_late_does_not_void_the_copy_made_since() {
-    let mut state = InForce::new(Room::default());
+    let mut state = InForce::new(Capacity::default());
     let p = purge(100, 1_000, vec![Cover::Tag(tag(1))]);
     state.apply(&p).unwrap();
     // The copy made at 150 is good, and is still when the same purge comes again.
@@ -135,12 +138,12 @@
         (vec![Cover::Pattern("a[".into())], "pattern 'a['"),
         (vec![Cover::Pattern("x".repeat(300).into())], "1 to 256 bytes"),
     ] {
-        let mut state = InForce::new(Room::default());
+        let mut state = InForce::new(Capacity::default());
         let said = state.apply(&purge(100, 50, covers)).unwrap_err().to_string();
         assert!(said.contains(why), "{said}");
         assert_eq!((state.counts(), state.void_before(&wanted(9, "y", Some(&[])), 120)), ([0; 4], Some(100)));
         state.expire(150);
         assert_eq!(state.void_before(&wanted(9, "y", Some(&[])), 150), None);
     }
-    assert_eq!(purge(5, 0, vec![Cover::Object(1)]).check(), Err(Unusable::Term));
+    assert_eq!(purge(5, 0, vec![Cover::Object(1)]).check(), Err(InvalidPurge::Term));
 }
--- a/tests/core_decisions/purges.rs
+++ b/tests/core_decisions/purges.rs
@@ -3,7 +3,7 @@
 use crate::digest::{expect, Digest};
 use larchdale::purges::log::{append, Action, Head, LogError, Notice, PurgeLog, Settings, ENTRIES};
 use larchdale::purges::recent::Recent;
-use larchdale::purges::{Cover, InForce, Purge, Room, Unusable, Wanted};
+use larchdale::purges::{Capacity, Cover, InForce, InvalidPurge, Purge, RequestedObject};
 use larchdale::routing::events::Micros;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
@@ -50,7 +50,7 @@
 
 fn in_force(seed: u64) -> u64 {
     let (mut rng, mut digest, mut covered) = (Pcg32::seed_from_u64(seed), Digest::new(), 0);
-    let room = Room { objects: 9, tags: 6, patterns: 3 };
+    let room = Capacity { objects: 9, tags: 6, patterns: 3 };
     let mut states = [InForce::new(room), InForce::new(room)];
     let (mut recent, mut now) = (Recent::default(), 1_000);
     for number in 0..3_000 {
@@ -71,10 +71,10 @@
                 let refused = states[at].apply(&purge).err();
                 digest.option(refused, |digest, unusable| {
                     digest.tag(match unusable {
-                        Unusable::Covers(_) => 1,
-                        Unusable::Tag(_) => 2,
-                        Unusable::Pattern(..) => 3,
-                        Unusable::Term => 4,
+                        InvalidPurge::Covers(_) => 1,
+                        InvalidPurge::Tag(_) => 2,
+                        InvalidPurge::Pattern(..) => 3,
+                        InvalidPurge::Term => 4,
                     });
                 });
                 let object = rng.random_bool(0.5).then(|| rng.random_range(0..30));
@@ -90,7 +90,7 @@
                 let tags: Vec<_> =
                     (0..rng.random_range(0..3)).map(|_| tag(rng.random_range(0..20))).collect();
                 let tags = rng.random_bool(0.8).then_some(&tags[..]);
-                let wanted = Wanted { object, group: object % 8, name: &name, tags };
+                let wanted = RequestedObject { object, group: object % 8, name: &name, tags };
                 let void = state.void_before(&wanted, now);
                 covered += usize::from(void.is_some());
                 digest.option(void, Digest::number);
