Registry: what waited too long is ended by the driver, the documents decide as before

The core ended such calls itself when a message came; that changed a hash of decisions (core_decisions, the documents) without need. The driver says so before it reads. a_call_that_waited_too_long_during_a_pause_is_not_sent fails without it (the call goes out) and passes with it; the hashes are as before.

--- a/src/registry/documents/driver.rs
+++ b/src/registry/documents/driver.rs
@@ -178,6 +178,7 @@
     /// Does what is due and what can be done. What has arrived is read before silence is judged: it may have lain
     /// there since the process was stopped.
     pub fn turn(&mut self, now: Micros, event_loop: &mut EventLoop) {
+        self.documents.expire_waiting_calls(now);
         self.poll_link(now);
         self.documents.tick(now, &mut self.actions);
         self.has_work = true;
--- a/src/registry/documents/mod.rs
+++ b/src/registry/documents/mod.rs
@@ -185,6 +185,12 @@
         Ok(())
     }
 
+    /// Ends the calls that have waited too long for being sent, before what has arrived lets any go out: a planner's might
+    /// be carried out after its lease.
+    pub fn expire_waiting_calls(&mut self, now: Micros) {
+        self.calls.expire_waiting(now);
+    }
+
     /// Time has passed.
     pub fn tick(&mut self, now: Micros, actions: &mut Vec<Action>) {
         if now < self.next() {
@@ -286,13 +292,11 @@
         }
     }
 
-    /// Sends the calls that wait, if the registry is followed. Those whose time is over are not sent: a planner's might
-    /// be carried out after its lease.
+    /// Sends the calls that wait, if the registry is followed.
     fn send_calls(&mut self, now: Micros, actions: &mut Vec<Action>) {
         if !self.is_watching() {
             return;
         }
-        self.calls.expire_waiting(now);
         let until = now.saturating_add(self.settings.answer);
         while self.calls.has_waiting() {
             let call = self.next_number();
--- a/tests/registry_documents.rs
+++ b/tests/registry_documents.rs
@@ -530,3 +530,25 @@
     assert!(follower.driver.confirmed() > Some(confirmed), "the answer was not read");
     assert_eq!(follower.driver.token(), connection, "the connection was given up");
 }
+
+/// Guards against a planner's write that is carried out after its lease: it waited for the watch, and the follower was
+/// stopped when the watch came.
+#[test]
+fn a_call_that_waited_too_long_during_a_pause_is_not_sent() {
+    let registry = Registry::start(1).unwrap();
+    // The watch may come in the same turn as it is asked for; then another follower is tried.
+    let caught = (0..100).find_map(|attempt| {
+        let mut follower = Proxy::new("a", &registry, 0);
+        let now = follower.now();
+        follower.driver.submit(now, attempt, put("late", "x")).unwrap();
+        let phase = follower.until("the list", |d, _| (d.revision() > 0).then_some(d.phase()));
+        (phase == FollowPhase::Listing).then_some(follower)
+    });
+    let mut follower = caught.expect("a follower whose watch has not begun");
+    std::thread::sleep(Duration::from_millis(100));
+    follower.skipped += 30 * S;
+    follower.turn();
+    let outcomes: Vec<Outcome> =
+        follower.driver.take_outcomes().into_iter().map(|(_, outcome)| outcome).collect();
+    assert_eq!(outcomes, [Outcome::NotSent]);
+}
