Soak: who closed its connection before a stopped instance could answer is told apart

Cause: in the test's world. A client had stopped waiting without a word (1 s after its patience), then closed the connection for another request's sake; nothing noted that the first one ended with it.

Change: it is noted (Request::closed).

--- a/crates/test-support/src/world/checker.rs
+++ b/crates/test-support/src/world/checker.rs
@@ -178,7 +178,16 @@
     fn request(instance: usize, sent: u64, codes: &[u8], lost: Option<u64>) -> Request {
         let answer = |&code: &u8| Answer { at: sent + 1, code, pause_ms: None };
         let answers = codes.iter().map(answer).collect();
-        Request { trace: sent, class: "images".into(), instance, sent, answers, lost, left: None }
+        Request {
+            trace: sent,
+            class: "images".into(),
+            instance,
+            sent,
+            answers,
+            lost,
+            left: None,
+            closed: None,
+        }
     }
 
     fn arrival(at: u64, server: usize, id: &str) -> Arrival {
--- a/crates/test-support/src/world/load.rs
+++ b/crates/test-support/src/world/load.rs
@@ -162,7 +162,8 @@
             conn.leaves.push((sent + after, stream, self.rng.random::<f64>() < CLOSES));
         }
         let (class, instance) = (of.name, self.load.instance);
-        self.all.push(Request { trace, class, instance, sent, answers: Vec::new(), lost: None, left: None });
+        let (answers, lost, left, closed) = Default::default();
+        self.all.push(Request { trace, class, instance, sent, answers, lost, left, closed });
     }
 
     fn connection(&mut self) -> Option<usize> {
@@ -212,6 +213,8 @@
                 }
             }
             if closes {
+                let forgotten = unanswered.iter().filter(|stream| !open.contains_key(stream));
+                forgotten.for_each(|stream| all[of[stream]].closed = Some(now));
                 open.drain().for_each(|(stream, _)| all[of[&stream]].left = Some(now));
                 return false;
             }
--- a/crates/test-support/src/world/records.rs
+++ b/crates/test-support/src/world/records.rs
@@ -91,6 +91,8 @@
     pub lost: Option<u64>,
     /// When its client stopped waiting, and said so or closed its connection.
     pub left: Option<u64>,
+    /// When its client closed the connection, for another request's sake, after it had stopped waiting without a word.
+    pub closed: Option<u64>,
 }
 
 /// Served.
--- a/src/routing/request.rs
+++ b/src/routing/request.rs
@@ -98,8 +98,8 @@
 }
 
 impl PendingRequest {
-    /// The endpoints whose places in the table must not be reused while the request is pending. Those of the attempt that
-    /// is out are among them: its capacity may have been released before its end.
+    /// The endpoints whose places in the table must not be reused while the request is pending. Those of the
+    /// attempt that is out are among them: its capacity may have been released before its end.
     pub(super) fn referenced_endpoints(&self) -> impl Iterator<Item = EndpointIndex> + '_ {
         let executed_at = self.first_execution.map(|execution| execution.endpoint);
         let occupied = self.attempt.iter().flat_map(Attempt::participants);
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -116,8 +116,8 @@
     }
 }
 
-/// Guards an endpoint that is new against the end of an attempt at another one: the place of that one, which was removed
-/// while the attempt was out and counted as lost, must not be given away.
+/// Guards an endpoint that is new against the end of an attempt at another one: the place of that one, which
+/// was removed while the attempt was out and counted as lost, must not be given away.
 #[test]
 fn the_place_of_a_removed_endpoint_stays_its_own_while_an_attempt_is_out_there() {
     let mut router = Router::new(settings(false), 7);
