--- a/tests/common/soak_play.rs
+++ b/tests/common/soak_play.rs
@@ -41,6 +41,9 @@
 /// New connections keep coming for so long after SIGTERM.
 const DIALS_FOR: Duration = Duration::from_millis(300);
 
+/// From when to when, in microseconds.
+type Span = (u64, u64);
+
 /// What happens to the fleet, one after the other.
 #[derive(Clone, Copy, Debug)]
 enum Trouble {
@@ -239,19 +242,24 @@
         self.pauses.push((instance, from, self.fleet.servers.now()));
     }
 
-    /// How much of a span this process was stopped for.
-    fn stalled(&self, from: u64, to: u64) -> u64 {
+    /// When this process was stopped, in any play.
+    fn stalls(&self) -> Vec<Span> {
         let at =
-            |moment: &Instant| moment.saturating_duration_since(self.fleet.servers.began).as_micros() as u64;
+            |moment: Instant| moment.saturating_duration_since(self.fleet.servers.began).as_micros() as u64;
         let stalls = STALLS.lock().unwrap_or_else(PoisonError::into_inner);
-        stalls.iter().map(|(began, ended)| overlap((at(began), at(ended)), (from, to))).sum()
+        stalls.iter().map(|&(began, ended)| (at(began), at(ended))).collect()
+    }
+
+    /// How much of a span this process was stopped for.
+    fn stalled(&self, from: u64, to: u64) -> u64 {
+        covered(self.stalls(), (from, to))
     }
 
     /// How much of a span of a request either this process or the request's instance was stopped for.
     fn stopped(&self, instance: usize, from: u64, to: u64) -> u64 {
         let pauses = self.pauses.iter().filter(|pause| pause.0 == instance);
-        let paused: u64 = pauses.map(|&(_, began, ended)| overlap((began, ended), (from, to))).sum();
-        paused + self.stalled(from, to)
+        let paused = pauses.map(|&(_, began, ended)| (began, ended));
+        covered(paused.chain(self.stalls()).collect(), (from, to))
     }
 
     /// Whether a request crossed the close of its connection: the client sees that when it looks, which it does not in a
@@ -334,8 +342,16 @@
     }
 }
 
-fn overlap(one: (u64, u64), other: (u64, u64)) -> u64 {
-    one.1.min(other.1).saturating_sub(one.0.max(other.0))
+/// How much of a span these cover together; they may overlap.
+fn covered(mut spans: Vec<Span>, (from, to): Span) -> u64 {
+    spans.sort_unstable();
+    let (mut sum, mut counted_to) = (0, from);
+    for (began, ended) in spans {
+        let (began, ended) = (began.max(counted_to), ended.min(to));
+        sum += ended.saturating_sub(began);
+        counted_to = counted_to.max(ended);
+    }
+    sum
 }
 
 /// Stops this process for a while.
