--- a/tests/common/soak_play.rs
+++ b/tests/common/soak_play.rs
@@ -301,6 +301,22 @@
         of.map_or(0, |c| c.patience_ms * MS)
     }
 
+    /// An attempt for nobody with all that could explain it: its request, what its instance logged of it, the pauses and
+    /// stalls.
+    fn explain_nobody(&self, requests: &[Request], attempt: Option<&&Arrival>) -> String {
+        let Some(attempt) = attempt else { return String::new() };
+        let request = requests.iter().find(|request| format!("{:016x}", request.trace) == attempt.id);
+        let began = self.fleet.servers.began;
+        let logged: Vec<String> = ["request", "attempt ended", "response"]
+            .iter()
+            .flat_map(|message| self.fleet.instances.running.iter().flatten().flat_map(|p| p.logged(message)))
+            .filter(|line| line.fields["request"] == attempt.id.as_str())
+            .map(|line| format!("{:?} {}", line.at.saturating_duration_since(began), line.fields))
+            .collect();
+        let (pauses, stalls) = (&self.pauses, self.stalls());
+        format!("{attempt:?} of {request:?}; pauses {pauses:?}, stalls {stalls:?}, logged {logged:#?}")
+    }
+
     /// What the pages promise, by the records.
     fn judge(&self, requests: &[Request]) -> Result<String, String> {
         let notes = self.fleet.servers.notes();
@@ -327,7 +343,7 @@
             let left = u64::from_str_radix(&a.id, 16).ok().and_then(|trace| left.get(&trace));
             left.is_some_and(|&left| a.at > left + LEFT_GRACE + self.stalled(left, a.at))
         });
-        none("sent for nobody", nobody.len(), format!("{:?}", nobody.first()))?;
+        none("sent for nobody", nobody.len(), self.explain_nobody(requests, nobody.first()))?;
         let drained = |a: &&&Arrival| {
             self.drains.iter().any(|&(s, told)| {
                 (a.server == s || a.via == Some(s)) && a.at > told + DRAIN_GRACE + self.stalled(told, a.at)
