--- /dev/null
+++ b/review/standin/router.rs
@@ -0,0 +1,142 @@
+//! The program under test, started by the command of the deploy file.
+
+use crate::record::Record;
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::{Duration, Instant};
+use std::{fs, thread};
+
+const START_TIMEOUT: Duration = Duration::from_secs(30);
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+const READY_CODE: u8 = 20;
+
+pub struct Router {
+    child: Child,
+    pub address: SocketAddr,
+    folder: PathBuf,
+    record: Record,
+}
+
+/// Addresses and limits that the configuration names.
+pub struct Setup {
+    pub caches: Vec<SocketAddr>,
+    pub parent: SocketAddr,
+    pub origin: SocketAddr,
+    pub channel: SocketAddr,
+    pub memory_mb: usize,
+    pub deadline_ms: u64,
+}
+
+impl Router {
+    /// Starts the program and waits until it says that it is ready.
+    pub fn start(run: &str, setup: &Setup, record: &Record) -> io::Result<Self> {
+        let address = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+        let folder = std::env::temp_dir().join(format!("larchdale-review-{}", std::process::id()));
+        fs::create_dir_all(&folder)?;
+        let config = folder.join("config.json");
+        fs::write(&config, configuration(address, setup))?;
+        let log = fs::File::create(folder.join("router.log"))?;
+        let child = Command::new("/bin/sh")
+            .args(["-c", run])
+            .env("PROXY_NAME", "n1")
+            .env("PROXY_LISTEN", address.to_string())
+            .env("PROXY_CONFIG", &config)
+            .env("TMPDIR", &folder)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()?;
+        let router = Router { child, address, folder, record: record.clone() };
+        router.await_ready()?;
+        record.line(&format!("router: ready at {address}"));
+        Ok(router)
+    }
+
+    fn await_ready(&self) -> io::Result<()> {
+        let started_at = Instant::now();
+        while started_at.elapsed() < START_TIMEOUT {
+            if self.is_ready().unwrap_or(false) {
+                return Ok(());
+            }
+            thread::sleep(POLL_INTERVAL);
+        }
+        Err(io::Error::other("the router is not ready"))
+    }
+
+    fn is_ready(&self) -> io::Result<bool> {
+        let mut stream = TcpStream::connect(self.address)?;
+        stream.set_read_timeout(Some(Duration::from_secs(1)))?;
+        stream.write_all(&[0, 0, 0, 6, 1, 0, 0, 0, 0, 0])?;
+        let mut answer = [0; 10];
+        stream.read_exact(&mut answer)?;
+        Ok(answer[9] == READY_CODE)
+    }
+
+    /// Sends a signal to the program's process, by its id.
+    pub fn signal(&self, name: &str) -> io::Result<()> {
+        self.record.line(&format!("platform: SIG{name}"));
+        Command::new("/bin/sh").args(["-c", &format!("kill -{name} {}", self.child.id())]).status().map(drop)
+    }
+
+    /// The status with which the program has ended, if it has.
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+}
+
+impl Drop for Router {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        copy_log(&self.folder.join("router.log"), &self.record);
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn copy_log(path: &Path, record: &Record) {
+    for line in fs::read_to_string(path).unwrap_or_default().lines() {
+        record.line(&format!("router log: {line}"));
+    }
+}
+
+fn instance(id: u32, address: SocketAddr, zone: &str, kind: &str) -> String {
+    format!(
+        r#"{{"instanceId":"s-{id:08x}","hostPort":"{address}","zone":"{zone}","machineType":"{kind}","cell":0,"lifecycle":"SERVING","weight":20,"startedAtMs":0}}"#
+    )
+}
+
+/// The configuration of a small deployment: one branch with its caches, one parent and the origin.
+fn configuration(listen: SocketAddr, setup: &Setup) -> String {
+    let mut instances: Vec<String> = (1u32..)
+        .zip(&setup.caches)
+        .map(|(id, cache)| instance(id, *cache, "branch", "small-box"))
+        .collect();
+    instances.push(instance(0x100, setup.parent, "hub", "parent"));
+    instances.push(instance(0x200, setup.origin, "hub", "origin"));
+    let (channel, memory_mb, deadline_us) = (setup.channel, setup.memory_mb, setup.deadline_ms * 1000);
+    let instances = instances.join(",");
+    format!(
+        r#"{{"name":"n1","listen":"{listen}","seed":"8c1f30d27a5be964",
+ "limits":{{"cores":1.0,"memory_mb":{memory_mb},"sockets":512}},
+ "channel":"{channel}","flow_bytes_per_s":310000,"link_bytes_per_s":1240000,
+ "known":{{"cursor":1,"cmds":[{{"cursor":1,"nodes":{{"generation":1,"reset":true,"instances":[{instances}]}}}}]}},
+ "settings":{{
+  "balancers":1,"zone":1,"discovery":"push","weight-source":"rough",
+  "failure-domains":["hub","branch"],"kinds":["small-box","parent","origin"],
+  "classes":[
+   {{"name":"clip-parts","promise-us":400000,"aim-stretch":1.6,"deadline-us":{deadline_us},
+     "semantics":"idempotent","dedup-scope":"all","window-us":5000000}},
+   {{"name":"record-edits","promise-us":600000,"deadline-us":3000000,
+     "semantics":"deduplicated","dedup-scope":"all","window-us":6000000}}],
+  "domain":{{"can-join":false,"crew-by-zone":[0,1],"detail":"hit","direct":true,"flow-kb-per-s":8500.0,
+   "inlet-kb-per-s":[0.0,0.0],"max-age-us":[0,0],"stale-for-us":[0,0],"pass-on":[false,true],
+   "parent-breaks-at":2.0,"parent-cold-from":0.079,"parent-ramp-us":20000000,"purge-done-us":6000000,
+   "purge-slack-us":500000,"source-kind":2,"upper-kind":1}},
+  "limits":{{"conn-idle-us":15000000,"dial-timeout-us":400000,"max-attempts":6,"max-open":20000,
+   "may-cancel":true,"multiplex":32,"retry-after":true,"max-retry-after-us":2000000}},
+  "rules":{{"answer-slack-us":8000,"drain-grace-us":1000000,"fall-us":1000000,"start-capacity":0.19,
+   "tip-multiple":3.0,"warm-within-us":15000000}}}}}}"#
+    )
+}
