Review case 1: a keyed request runs again in another zone once its branch drains

Cause: with no eligible cache in the branch a request goes straight to the fill's source, and parents are not asked whether they discard repeats of an attempt that may have run elsewhere (route_by_cache, pick_source). Change: the case, its stand-ins (endpoints that reset, a channel with news); the slow reader's case becomes number 2.

--- a/review/standin/client.rs
+++ b/review/standin/client.rs
@@ -36,6 +36,9 @@
     /// Bytes a second; `None`: as fast as they come.
     pub read_rate: Option<u64>,
     pub object_size: usize,
+    pub class: &'static str,
+    /// Whether each request carries an idempotency key.
+    pub is_keyed: bool,
     pub patience_ms: u64,
     pub time_limit: Duration,
 }
@@ -164,15 +167,20 @@
             let number = NEXT_TRACE.fetch_add(1, Ordering::Relaxed);
             let (trace, object) = (format!("{number:016x}"), format!("0b{number:014x}"));
             let size_kb = (self.plan.object_size as f64 / 1000.0).to_string();
-            let fields = [
-                ("route", "clip-parts"),
-                ("trace", &trace),
-                ("patience", &self.plan.patience_ms.to_string()),
-                ("entity", &object),
+            let key = format!("{:016x}{number:016x}", 0x5c0f_6e1a_2b3d_4c59u64);
+            let patience = self.plan.patience_ms.to_string();
+            let mut fields = vec![
+                ("route", self.plan.class),
+                ("trace", trace.as_str()),
+                ("patience", patience.as_str()),
+                ("entity", object.as_str()),
                 ("nth", "0"),
                 ("batch", "1"),
-                ("size", &size_kb),
+                ("size", size_kb.as_str()),
             ];
+            if self.plan.is_keyed {
+                fields.push(("nonce", key.as_str()));
+            }
             let frame = request_frame(self.last_stream, &fields);
             self.record.line(&format!("client {}: sent {trace} on stream {}", self.plan.name, self.last_stream));
             self.outcome.sent += 1;
--- a/review/standin/endpoint.rs
+++ b/review/standin/endpoint.rs
@@ -4,8 +4,10 @@
 use crate::record::Record;
 use std::io::{self, BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// Bytes of an object: its id again and again.
 pub fn object_bytes(object: &str, size: usize) -> Vec<u8> {
@@ -16,44 +18,141 @@
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |age| age.as_millis() as u64)
 }
 
-/// Starts an endpoint on a free port of a loopback address.
-pub fn start(name: &'static str, object_size: usize, record: &Record) -> io::Result<SocketAddr> {
-    let listener = TcpListener::bind("127.0.0.1:0")?;
-    let address = listener.local_addr()?;
-    let record = record.clone();
-    thread::spawn(move || {
+/// One attempt that came whole to an endpoint.
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub id: String,
+    pub endpoint: &'static str,
+}
+
+/// All attempts that came to any endpoint, in their order.
+#[derive(Clone, Default)]
+pub struct Runs(Arc<Mutex<Vec<Run>>>);
+
+impl Runs {
+    pub fn all(&self) -> Vec<Run> {
+        self.0.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).clone()
+    }
+
+    fn add(&self, run: Run) {
+        self.0.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).push(run);
+    }
+}
+
+/// How an endpoint behaves.
+#[derive(Clone, Copy)]
+pub struct Nature {
+    pub name: &'static str,
+    pub object_size: usize,
+    /// Time from the arrival of a request to its answer.
+    pub work: Duration,
+}
+
+/// A running endpoint.
+#[derive(Clone)]
+pub struct Endpoint {
+    pub address: SocketAddr,
+    nature: Nature,
+    connections: Arc<Mutex<Vec<TcpStream>>>,
+    runs: Runs,
+    record: Record,
+}
+
+impl Endpoint {
+    /// Starts an endpoint on a free port of a loopback address.
+    pub fn start(nature: Nature, runs: &Runs, record: &Record) -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let endpoint = Endpoint {
+            address: listener.local_addr()?,
+            nature,
+            connections: Arc::default(),
+            runs: runs.clone(),
+            record: record.clone(),
+        };
+        let accepting = endpoint.clone();
+        thread::spawn(move || accepting.accept(listener));
+        Ok(endpoint)
+    }
+
+    fn accept(self, listener: TcpListener) {
         for stream in listener.incoming().flatten() {
-            let record = record.clone();
+            let endpoint = self.clone();
             thread::spawn(move || {
-                if let Err(error) = serve(name, stream, object_size, &record) {
-                    record.line(&format!("endpoint {name}: connection ended: {error}"));
+                if let Err(error) = endpoint.serve(stream) {
+                    endpoint.record.line(&format!("endpoint {}: connection ended: {error}", endpoint.nature.name));
                 }
             });
         }
-    });
-    Ok(address)
-}
+    }
 
-fn serve(name: &str, stream: TcpStream, object_size: usize, record: &Record) -> io::Result<()> {
-    stream.set_nodelay(true)?;
-    let mut output = stream.try_clone()?;
-    let mut input = BufReader::new(stream);
-    while let Some(command) = read_command(&mut input)? {
-        let text = |index: usize| command.get(index).map(|bytes| String::from_utf8_lossy(bytes).into_owned());
-        match (text(0).as_deref(), text(1), text(2)) {
-            (Some("want"), Some(id), Some(fields)) => {
-                record.line(&format!("endpoint {name}: ran {id} {fields}"));
-                let object = field(&fields, "k").unwrap_or_default();
-                let body = object_bytes(&object, object_size);
-                let fields = format!("tag=t{object},minted={},note=hit", unix_ms());
-                output.write_all(&answer(&id, "ok", &fields, &body))?;
+    /// Resets all connections under their requests; the endpoint stays up.
+    pub fn reset_connections(&self) {
+        self.record.line(&format!("endpoint {}: resets its connections", self.nature.name));
+        for stream in std::mem::take(&mut *self.lock_connections()) {
+            reset(&stream);
+        }
+    }
+
+    fn lock_connections(&self) -> MutexGuard<'_, Vec<TcpStream>> {
+        self.connections.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    fn serve(&self, stream: TcpStream) -> io::Result<()> {
+        stream.set_nodelay(true)?;
+        self.lock_connections().push(stream.try_clone()?);
+        let output = Arc::new(Mutex::new(stream.try_clone()?));
+        let mut input = BufReader::new(stream);
+        while let Some(command) = read_command(&mut input)? {
+            let text =
+                |index: usize| command.get(index).map(|bytes| String::from_utf8_lossy(bytes).into_owned());
+            match (text(0).as_deref(), text(1), text(2)) {
+                (Some("want"), Some(id), Some(fields)) => self.run(id, fields, &output)?,
+                (Some("never_mind"), Some(id), _) => {
+                    self.record.line(&format!("endpoint {}: cancelled {id}", self.nature.name));
+                }
+                (Some("there" | "busy"), Some(tag), _) => write(&output, &answer(&tag, "yes", "-", b""))?,
+                _ => return Err(io::Error::other("unknown command")),
             }
-            (Some("never_mind"), Some(id), _) => record.line(&format!("endpoint {name}: cancelled {id}")),
-            (Some("there" | "busy"), Some(tag), _) => output.write_all(&answer(&tag, "yes", "-", b""))?,
-            _ => return Err(io::Error::other("unknown command")),
         }
+        Ok(())
     }
-    Ok(())
+
+    fn run(&self, id: String, fields: String, output: &Arc<Mutex<TcpStream>>) -> io::Result<()> {
+        let name = self.nature.name;
+        self.record.line(&format!("endpoint {name}: ran {id} {fields}"));
+        self.runs.add(Run { id: id.clone(), endpoint: name });
+        let (object_size, work, output) = (self.nature.object_size, self.nature.work, output.clone());
+        let finish = move || {
+            let object = field(&fields, "k").unwrap_or_default();
+            let body = object_bytes(&object, object_size);
+            let fields = format!("tag=t{object},minted={},note=hit", unix_ms());
+            write(&output, &answer(&id, "ok", &fields, &body))
+        };
+        if work.is_zero() {
+            return finish();
+        }
+        thread::spawn(move || {
+            thread::sleep(work);
+            finish()
+        });
+        Ok(())
+    }
+}
+
+extern "C" {
+    fn connect(socket: i32, address: *const u8, length: u32) -> i32;
+}
+
+/// Resets a connection at once. The standard library has no call for it: a connect to an address of no family ends a
+/// TCP connection with a reset.
+fn reset(stream: &TcpStream) {
+    const ADDRESS_OF_NO_FAMILY: [u8; 16] = [0; 16];
+    // SAFETY: the descriptor is open while `stream` lives, and the address has the length that is passed.
+    unsafe { connect(stream.as_raw_fd(), ADDRESS_OF_NO_FAMILY.as_ptr(), ADDRESS_OF_NO_FAMILY.len() as u32) };
+}
+
+fn write(output: &Mutex<TcpStream>, bytes: &[u8]) -> io::Result<()> {
+    output.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).write_all(bytes)
 }
 
 fn field(fields: &str, name: &str) -> Option<String> {
--- a/review/standin/router.rs
+++ b/review/standin/router.rs
@@ -1,10 +1,11 @@
 //! The program under test, started by the command of the deploy file.
 
+use crate::channel::Listed;
 use crate::record::Record;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, ExitStatus, Stdio};
+use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 use std::{fs, thread};
 
@@ -19,14 +20,22 @@
     record: Record,
 }
 
-/// Addresses and limits that the configuration names.
+/// What the configuration names.
 pub struct Setup {
-    pub caches: Vec<SocketAddr>,
-    pub parent: SocketAddr,
-    pub origin: SocketAddr,
+    pub listed: Vec<Listed>,
     pub channel: SocketAddr,
     pub memory_mb: usize,
-    pub deadline_ms: u64,
+    /// The settings' `classes`, as JSON.
+    pub classes: String,
+}
+
+/// A class of the settings, as JSON.
+pub fn class(name: &str, deadline_ms: u64, semantics: &str, scope: &str, window_ms: u64) -> String {
+    format!(
+        r#"{{"name":"{name}","promise-us":400000,"aim-stretch":1.6,"deadline-us":{},"semantics":"{semantics}","dedup-scope":"{scope}","window-us":{}}}"#,
+        deadline_ms * 1000,
+        window_ms * 1000
+    )
 }
 
 impl Router {
@@ -74,15 +83,11 @@
         Ok(answer[9] == READY_CODE)
     }
 
-    /// Sends a signal to the program's process, by its id.
-    pub fn signal(&self, name: &str) -> io::Result<()> {
-        self.record.line(&format!("platform: SIG{name}"));
-        Command::new("/bin/sh").args(["-c", &format!("kill -{name} {}", self.child.id())]).status().map(drop)
-    }
-
-    /// The status with which the program has ended, if it has.
-    pub fn ended(&mut self) -> Option<ExitStatus> {
-        self.child.try_wait().ok().flatten()
+    /// The most memory that the program had in use, as the system tells it.
+    pub fn peak_memory(&self) -> String {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
+        let wanted = |line: &&str| line.starts_with("VmHWM") || line.starts_with("RssAnon");
+        status.lines().filter(wanted).collect::<Vec<_>>().join(", ")
     }
 }
 
@@ -101,37 +106,33 @@
     }
 }
 
-fn instance(id: u32, address: SocketAddr, zone: &str, kind: &str) -> String {
+const ZONES: [&str; 3] = ["hub", "branch", "other-branch"];
+const KINDS: [&str; 3] = ["small-box", "parent", "origin"];
+
+fn instance(listed: &Listed) -> String {
+    let Listed { id, address, zone, kind } = listed;
+    let (zone, kind) = (ZONES[usize::from(*zone)], KINDS[usize::from(*kind)]);
     format!(
         r#"{{"instanceId":"s-{id:08x}","hostPort":"{address}","zone":"{zone}","machineType":"{kind}","cell":0,"lifecycle":"SERVING","weight":20,"startedAtMs":0}}"#
     )
 }
 
-/// The configuration of a small deployment: one branch with its caches, one parent and the origin.
+/// The configuration of a small deployment: two branches with their caches, one parent and the origin. Its
+/// second class is a write that runs at the origin.
 fn configuration(listen: SocketAddr, setup: &Setup) -> String {
-    let mut instances: Vec<String> = (1u32..)
-        .zip(&setup.caches)
-        .map(|(id, cache)| instance(id, *cache, "branch", "small-box"))
-        .collect();
-    instances.push(instance(0x100, setup.parent, "hub", "parent"));
-    instances.push(instance(0x200, setup.origin, "hub", "origin"));
-    let (channel, memory_mb, deadline_us) = (setup.channel, setup.memory_mb, setup.deadline_ms * 1000);
-    let instances = instances.join(",");
+    let instances = setup.listed.iter().map(instance).collect::<Vec<_>>().join(",");
+    let Setup { channel, memory_mb, classes, .. } = setup;
     format!(
         r#"{{"name":"n1","listen":"{listen}","seed":"8c1f30d27a5be964",
  "limits":{{"cores":1.0,"memory_mb":{memory_mb},"sockets":512}},
  "channel":"{channel}","flow_bytes_per_s":310000,"link_bytes_per_s":1240000,
  "known":{{"cursor":1,"cmds":[{{"cursor":1,"nodes":{{"generation":1,"reset":true,"instances":[{instances}]}}}}]}},
  "settings":{{
-  "balancers":1,"zone":1,"discovery":"push","weight-source":"rough",
-  "failure-domains":["hub","branch"],"kinds":["small-box","parent","origin"],
-  "classes":[
-   {{"name":"clip-parts","promise-us":400000,"aim-stretch":1.6,"deadline-us":{deadline_us},
-     "semantics":"idempotent","dedup-scope":"all","window-us":5000000}},
-   {{"name":"record-edits","promise-us":600000,"deadline-us":3000000,
-     "semantics":"deduplicated","dedup-scope":"all","window-us":6000000}}],
-  "domain":{{"can-join":false,"crew-by-zone":[0,1],"detail":"hit","direct":true,"flow-kb-per-s":8500.0,
-   "inlet-kb-per-s":[0.0,0.0],"max-age-us":[0,0],"stale-for-us":[0,0],"pass-on":[false,true],
+  "balancers":2,"zone":1,"discovery":"push","weight-source":"rough",
+  "failure-domains":["hub","branch","other-branch"],"kinds":["small-box","parent","origin"],
+  "classes":[{classes}],
+  "domain":{{"can-join":false,"crew-by-zone":[0,1,1],"detail":"hit","direct":true,"flow-kb-per-s":8500.0,
+   "inlet-kb-per-s":[0.0,0.0,0.0],"max-age-us":[0,0],"stale-for-us":[0,0],"pass-on":[false,true],
    "parent-breaks-at":2.0,"parent-cold-from":0.079,"parent-ramp-us":20000000,"purge-done-us":6000000,
    "purge-slack-us":500000,"source-kind":2,"upper-kind":1}},
   "limits":{{"conn-idle-us":15000000,"dial-timeout-us":400000,"max-attempts":6,"max-open":20000,
