Review case 1: a class that comes back by SIGHUP makes the whole file refused

Cause: a reload demands every key that all classes of the running file share; once the only class without an optional key was dropped, the file the instance started with counts as lacking that key, and the channel's new address with it. Change: the case, and stand-ins for a channel that moves; the keyed repeat becomes case 2, the slow reader case 3.

--- a/review/standin/client.rs
+++ b/review/standin/client.rs
@@ -46,7 +46,10 @@
 /// What became of a client's requests.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Outcome {
+    /// Requests written, those that were sent again included.
     pub sent: usize,
+    /// Requests that crossed the end of their connection; each is sent again once, and lost when it crosses another.
+    pub sent_again: usize,
     pub served: usize,
     pub refused: usize,
     pub failed: usize,
@@ -61,6 +64,7 @@
 impl Outcome {
     pub fn add(&mut self, other: Outcome) {
         self.sent += other.sent;
+        self.sent_again += other.sent_again;
         self.served += other.served;
         self.refused += other.refused;
         self.failed += other.failed;
@@ -105,7 +109,9 @@
                 total.add(outcome);
                 batches = left;
                 if crossing > 0 && resent {
+                    total.sent_again -= crossing;
                     total.lost += crossing;
+                    record.line(&format!("client {}: {crossing} requests LOST, sent again before", plan.name));
                 } else if crossing > 0 {
                     resent = true;
                     record.line(&format!("client {}: {crossing} requests crossed the end, sent again", plan.name));
@@ -265,7 +271,7 @@
         for request in self.open.values() {
             if request.sent_at.elapsed() <= CROSSING_TIME {
                 crossing += 1;
-                self.outcome.sent -= 1;
+                self.outcome.sent_again += 1;
             } else {
                 self.outcome.lost += 1;
                 let age_ms = request.sent_at.elapsed().as_millis();
--- a/review/standin/endpoint.rs
+++ b/review/standin/endpoint.rs
@@ -23,6 +23,9 @@
 pub struct Run {
     pub id: String,
     pub endpoint: &'static str,
+    /// The endpoint from which a miss is to be filled.
+    pub source: Option<String>,
+    pub at_ms: u64,
 }
 
 /// All attempts that came to any endpoint, in their order.
@@ -120,7 +123,12 @@
     fn run(&self, id: String, fields: String, output: &Arc<Mutex<TcpStream>>) -> io::Result<()> {
         let name = self.nature.name;
         self.record.line(&format!("endpoint {name}: ran {id} {fields}"));
-        self.runs.add(Run { id: id.clone(), endpoint: name });
+        self.runs.add(Run {
+            id: id.clone(),
+            endpoint: name,
+            source: field(&fields, "via"),
+            at_ms: self.record.now_ms(),
+        });
         let (object_size, work, output) = (self.nature.object_size, self.nature.work, output.clone());
         let finish = move || {
             let object = field(&fields, "k").unwrap_or_default();
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -11,14 +11,15 @@
 
 use client::{Outcome, Plan};
 use record::Record;
-use channel::{Channel, Listed, State};
+use channel::{Channel, Events, Listed, State};
 use endpoint::{Endpoint, Nature, Run, Runs};
-use router::{Router, Setup};
+use router::{Class, Router, Setup};
 use std::collections::{HashMap, HashSet};
 use std::io;
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const EXIT_HELD: u8 = 0;
 const EXIT_BROKEN: u8 = 1;
@@ -33,6 +34,17 @@
 const KEYED_WORK: Duration = Duration::from_millis(3_000);
 const DRAIN_AFTER: Duration = Duration::from_millis(500);
 const RESET_AFTER_DRAIN: Duration = Duration::from_millis(1_000);
+const REQUEST_INTERVAL: Duration = Duration::from_millis(50);
+/// Times from the start at which the class is dropped and comes back.
+const DROPPED_AFTER: Duration = Duration::from_secs(2);
+const RETURNED_AFTER: Duration = Duration::from_secs(36);
+const OBSERVED_AFTER: Duration = Duration::from_secs(9);
+/// The page's time after SIGHUP from which clients name a new class.
+const CLIENTS_LEARN_AFTER: Duration = Duration::from_millis(1_200);
+/// The page's time after SIGHUP at which what the command channel has to tell counts as told.
+const TOLD_AFTER_SIGHUP_MS: u64 = 4_000;
+/// `rules.drain-grace-us`, and the 50 ms by which every limit is longer on sockets.
+const DRAIN_GRACE_MS: u64 = 1_050;
 const USUAL_MEMORY_MB: usize = 192;
 /// A long class deadline, so that every answer could be read to its end within the client's patience.
 const LONG_DEADLINE_MS: u64 = 9_000;
@@ -68,7 +80,7 @@
 fn play(name: &str, case: &Case) -> io::Result<bool> {
     match name {
         "keyed-repeat" => keyed_repeat(case),
-        "slow-readers-memory" => slow_readers_memory(case),
+        "class-returns" => class_returns(case),
         "slow-reader-idle" => slow_reader_idle(case),
         _ => Err(io::Error::other("unknown case")),
     }
@@ -79,8 +91,10 @@
     /// The caches of the router's branch.
     caches: Vec<Endpoint>,
     listed_caches: Vec<Listed>,
+    events: Events,
     channel: Channel,
     runs: Runs,
+    setup: Setup,
     router: Router,
 }
 
@@ -94,11 +108,30 @@
 /// The caches of the other branch, which has routers of its own; ten for a fleet of its usual size.
 const OTHER_CACHES: u32 = 10;
 
+/// The classes of the site, as its file has them: a write has no `aim-stretch`.
+const CLIPS: Class = Class {
+    name: "clip-parts",
+    deadline_ms: 6_000,
+    stretch: Some(1.6),
+    semantics: "idempotent",
+    scope: "all",
+    is_write: false,
+};
+const EDITS: Class = Class {
+    name: "record-edits",
+    deadline_ms: 3_000,
+    stretch: None,
+    semantics: "deduplicated",
+    scope: "all",
+    is_write: true,
+};
+
 impl Case {
     /// Starts three caches in the branch, ten in another one, a parent and the origin in the hub, the command channel
     /// and one router of the branch.
-    fn start(&self, memory_mb: usize, classes: String, object_size: usize, work: Duration) -> io::Result<World> {
-        let (runs, channel) = (Runs::default(), Channel::start(&self.record)?);
+    fn start(&self, memory_mb: usize, classes: &[Class], object_size: usize, work: Duration) -> io::Result<World> {
+        let (runs, events) = (Runs::default(), Events::default());
+        let channel = Channel::start(&events)?;
         let start = |name| Endpoint::start(Nature { name, object_size, work }, &runs, &self.record);
         let caches = CACHE_NAMES.into_iter().map(start).collect::<io::Result<Vec<_>>>()?;
         let list = |(id, cache): (u32, &Endpoint)| Listed { id, address: cache.address, zone: BRANCH, kind: CACHE };
@@ -110,17 +143,14 @@
         }
         listed.push(Listed { id: 0x100, address: start("parent")?.address, zone: HUB, kind: PARENT });
         listed.push(Listed { id: 0x200, address: start("origin")?.address, zone: HUB, kind: ORIGIN });
-        let setup = Setup { listed, channel: channel.address, memory_mb, classes };
+        let setup = Setup { listed, channel: channel.address, memory_mb, classes: classes.to_vec() };
         let router = Router::start(&self.run, &setup, &self.record)?;
-        Ok(World { caches, listed_caches, channel, runs, router })
+        Ok(World { caches, listed_caches, events, channel, runs, setup, router })
     }
 
     fn start_for_slow_readers(&self, memory_mb: usize) -> io::Result<World> {
-        let classes = [
-            router::class("clip-parts", LONG_DEADLINE_MS, "idempotent", "all", 5_000),
-            router::class("record-edits", 3_000, "deduplicated", "all", 6_000),
-        ];
-        self.start(memory_mb, classes.join(","), OBJECT_BYTES, Duration::ZERO)
+        let clips = Class { deadline_ms: LONG_DEADLINE_MS, ..CLIPS };
+        self.start(memory_mb, &[clips, EDITS], OBJECT_BYTES, Duration::ZERO)
     }
 
     /// Says what became of the requests; returns whether the rule held.
@@ -160,38 +190,11 @@
     Ok(case.judge(&play_all(&[plan], &case.record)))
 }
 
-fn env_or(name: &str, usual: u64) -> u64 {
-    std::env::var(name).ok().and_then(|value| value.parse().ok()).unwrap_or(usual)
-}
-
-fn slow_readers_memory(case: &Case) -> io::Result<bool> {
-    let World { router, .. } = case.start_for_slow_readers(env_or("MEM", 32) as usize)?;
-    let plan = |number: u64| Plan {
-        name: format!("c{number}"),
-        address: router.address,
-        batches: vec![env_or("BATCH", 32) as usize; env_or("BATCHES", 1) as usize],
-        refill_at: env_or("REFILL", 0) as usize,
-        read_rate: case.has_trouble.then(|| env_or("RATE", 1_000_000)),
-        object_size: OBJECT_BYTES,
-        class: "clip-parts",
-        is_keyed: false,
-        patience_ms: LONG_DEADLINE_MS,
-        time_limit: CLIENT_TIME_LIMIT,
-    };
-    let plans: Vec<Plan> = (1..=env_or("CLIENTS", 4)).map(plan).collect();
-    let outcome = play_all(&plans, &case.record);
-    case.record.say(&format!("memory: {}", router.peak_memory()));
-    Ok(case.judge(&outcome))
-}
-
 /// Keyed requests are out at the branch's caches, which begin to drain; then their connections are reset.
 fn keyed_repeat(case: &Case) -> io::Result<bool> {
-    let classes = [
-        router::class("images", 6_000, "deduplicated", "zone", 6_000),
-        router::class("record-edits", 3_000, "deduplicated", "all", 6_000),
-    ];
-    let World { caches, listed_caches, channel, runs, router } =
-        case.start(USUAL_MEMORY_MB, classes.join(","), SMALL_OBJECT_BYTES, KEYED_WORK)?;
+    let images = Class { name: "images", semantics: "deduplicated", scope: "zone", ..CLIPS };
+    let World { caches, listed_caches, events, runs, router, .. } =
+        case.start(USUAL_MEMORY_MB, &[images, EDITS], SMALL_OBJECT_BYTES, KEYED_WORK)?;
     let plan = Plan {
         name: "c1".to_owned(),
         address: router.address,
@@ -208,7 +211,7 @@
         let client = scope.spawn(|| client::play(&plan, &case.record));
         if case.has_trouble {
             thread::sleep(DRAIN_AFTER);
-            channel.tell(&listed_caches, State::Draining);
+            events.tell(&listed_caches, State::Draining, &case.record);
             thread::sleep(RESET_AFTER_DRAIN);
             caches.iter().for_each(Endpoint::reset_connections);
         }
@@ -234,3 +237,78 @@
     }
     repeated.len()
 }
+
+/// Clients send one request after another, each on a connection of its own, from `from` until `until`.
+fn send_steadily(case: &Case, address: SocketAddr, class: &'static str, from: Instant, until: Instant) -> Outcome {
+    thread::sleep(from.saturating_duration_since(Instant::now()));
+    let mut total = Outcome::default();
+    while Instant::now() < until {
+        let plan = Plan {
+            name: class.to_owned(),
+            address,
+            batches: vec![1],
+            refill_at: 0,
+            read_rate: None,
+            object_size: SMALL_OBJECT_BYTES,
+            class,
+            is_keyed: class == EDITS.name,
+            patience_ms: 3_000,
+            time_limit: CLIENT_TIME_LIMIT,
+        };
+        total.add(client::play(&plan, &case.record));
+        thread::sleep(REQUEST_INTERVAL);
+    }
+    total
+}
+
+/// A class is dropped by a new configuration and comes back by the next one, which is the first file but for the
+/// channel's address.
+fn class_returns(case: &Case) -> io::Result<bool> {
+    let World { listed_caches, events, channel, runs, setup, router, .. } =
+        case.start(USUAL_MEMORY_MB, &[CLIPS, EDITS], SMALL_OBJECT_BYTES, Duration::ZERO)?;
+    let (second, third) = (Channel::start(&events)?, Channel::start(&events)?);
+    let started = Instant::now();
+    let (dropped, returned) = (started + DROPPED_AFTER, started + RETURNED_AFTER);
+    let end = returned + OBSERVED_AFTER;
+    let mut told_ms = 0;
+    let outcome = thread::scope(|scope| -> io::Result<Outcome> {
+        let address = router.address;
+        let clips = scope.spawn(move || send_steadily(case, address, CLIPS.name, started, end));
+        let edits = scope.spawn(move || {
+            let mut total = send_steadily(case, address, EDITS.name, started, dropped);
+            total.add(send_steadily(case, address, EDITS.name, returned + CLIENTS_LEARN_AFTER, end));
+            total
+        });
+        if case.has_trouble {
+            thread::sleep(dropped.saturating_duration_since(Instant::now()));
+            channel.retire();
+            router.reconfigure(&Setup { channel: second.address, classes: vec![CLIPS], ..setup.clone() })?;
+        }
+        thread::sleep(returned.saturating_duration_since(Instant::now()));
+        told_ms = case.record.now_ms();
+        if case.has_trouble {
+            second.retire();
+            router.reconfigure(&Setup { channel: third.address, ..setup.clone() })?;
+            told_ms += TOLD_AFTER_SIGHUP_MS;
+        }
+        events.tell(&listed_caches[..1], State::Draining, &case.record);
+        let mut total = clips.join().unwrap_or_default();
+        total.add(edits.join().unwrap_or_default());
+        Ok(total)
+    })?;
+    let late = sent_to_draining(&runs, told_ms + DRAIN_GRACE_MS, &case.record);
+    case.record.say(&format!("{late} attempts named a draining cache after the time for that"));
+    Ok(case.judge(&outcome) && late == 0)
+}
+
+/// Counts the attempts that came to the first cache, or named it as a source, after `limit_ms`.
+fn sent_to_draining(runs: &Runs, limit_ms: u64, record: &Record) -> usize {
+    let names_it =
+        |run: &&Run| run.endpoint == CACHE_NAMES[0] || run.source.as_deref() == Some("s-00000001");
+    let late: Vec<Run> = runs.all().iter().filter(names_it).filter(|run| run.at_ms > limit_ms).cloned().collect();
+    for run in &late {
+        let (id, endpoint, late_ms) = (&run.id, run.endpoint, run.at_ms - limit_ms);
+        record.line(&format!("{id}: SENT TO A DRAINING CACHE, at {endpoint}, {late_ms} ms after the limit"));
+    }
+    late.len()
+}
--- a/review/standin/record.rs
+++ b/review/standin/record.rs
@@ -17,6 +17,11 @@
         Ok(Record { file, started_at: Instant::now() })
     }
 
+    /// Milliseconds since the start of the run.
+    pub fn now_ms(&self) -> u64 {
+        self.started_at.elapsed().as_millis() as u64
+    }
+
     /// Writes one line to the record.
     pub fn line(&self, text: &str) {
         let mut file = self.file.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
--- a/review/standin/router.rs
+++ b/review/standin/router.rs
@@ -21,21 +21,36 @@
 }
 
 /// What the configuration names.
+#[derive(Clone)]
 pub struct Setup {
     pub listed: Vec<Listed>,
     pub channel: SocketAddr,
     pub memory_mb: usize,
-    /// The settings' `classes`, as JSON.
-    pub classes: String,
+    pub classes: Vec<Class>,
 }
 
-/// A class of the settings, as JSON.
-pub fn class(name: &str, deadline_ms: u64, semantics: &str, scope: &str, window_ms: u64) -> String {
-    format!(
-        r#"{{"name":"{name}","promise-us":400000,"aim-stretch":1.6,"deadline-us":{},"semantics":"{semantics}","dedup-scope":"{scope}","window-us":{}}}"#,
-        deadline_ms * 1000,
-        window_ms * 1000
-    )
+/// A class of the settings.
+#[derive(Clone)]
+pub struct Class {
+    pub name: &'static str,
+    pub deadline_ms: u64,
+    /// `aim-stretch`, which a class may lack.
+    pub stretch: Option<f64>,
+    pub semantics: &'static str,
+    pub scope: &'static str,
+    /// Whether its requests run at the origin and leave no copy.
+    pub is_write: bool,
+}
+
+impl Class {
+    fn to_json(&self) -> String {
+        let Class { name, deadline_ms, semantics, scope, .. } = self;
+        let stretch = self.stretch.map_or(String::new(), |stretch| format!(r#""aim-stretch":{stretch},"#));
+        format!(
+            r#"{{{stretch}"name":"{name}","promise-us":400000,"deadline-us":{},"semantics":"{semantics}","dedup-scope":"{scope}","window-us":6000000}}"#,
+            deadline_ms * 1000
+        )
+    }
 }
 
 impl Router {
@@ -83,11 +98,14 @@
         Ok(answer[9] == READY_CODE)
     }
 
-    /// The most memory that the program had in use, as the system tells it.
-    pub fn peak_memory(&self) -> String {
-        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
-        let wanted = |line: &&str| line.starts_with("VmHWM") || line.starts_with("RssAnon");
-        status.lines().filter(wanted).collect::<Vec<_>>().join(", ")
+    /// Puts a new configuration in the place of the old one, and sends SIGHUP to the program, by its id.
+    pub fn reconfigure(&self, setup: &Setup) -> io::Result<()> {
+        let (new, config) = (self.folder.join("config.new"), self.folder.join("config.json"));
+        fs::write(&new, configuration(self.address, setup))?;
+        fs::rename(&new, &config)?;
+        let names: Vec<&str> = setup.classes.iter().map(|class| class.name).collect();
+        self.record.line(&format!("platform: SIGHUP, channel {}, classes {}", setup.channel, names.join(" ")));
+        Command::new("/bin/sh").args(["-c", &format!("kill -HUP {}", self.child.id())]).status().map(drop)
     }
 }
 
@@ -117,11 +135,13 @@
     )
 }
 
-/// The configuration of a small deployment: two branches with their caches, one parent and the origin. Its
-/// second class is a write that runs at the origin.
+/// The configuration of a small deployment: two branches with their caches, one parent and the origin.
 fn configuration(listen: SocketAddr, setup: &Setup) -> String {
     let instances = setup.listed.iter().map(instance).collect::<Vec<_>>().join(",");
-    let Setup { channel, memory_mb, classes, .. } = setup;
+    let Setup { channel, memory_mb, .. } = setup;
+    let classes = setup.classes.iter().map(Class::to_json).collect::<Vec<_>>().join(",");
+    let by_class = |value: &dyn Fn(&Class) -> String| setup.classes.iter().map(value).collect::<Vec<_>>().join(",");
+    let (no_time, writes) = (by_class(&|_| "0".to_owned()), by_class(&|class| class.is_write.to_string()));
     format!(
         r#"{{"name":"n1","listen":"{listen}","seed":"8c1f30d27a5be964",
  "limits":{{"cores":1.0,"memory_mb":{memory_mb},"sockets":512}},
@@ -132,7 +152,7 @@
   "failure-domains":["hub","branch","other-branch"],"kinds":["small-box","parent","origin"],
   "classes":[{classes}],
   "domain":{{"can-join":false,"crew-by-zone":[0,1,1],"detail":"hit","direct":true,"flow-kb-per-s":8500.0,
-   "inlet-kb-per-s":[0.0,0.0,0.0],"max-age-us":[0,0],"stale-for-us":[0,0],"pass-on":[false,true],
+   "inlet-kb-per-s":[0.0,0.0,0.0],"max-age-us":[{no_time}],"stale-for-us":[{no_time}],"pass-on":[{writes}],
    "parent-breaks-at":2.0,"parent-cold-from":0.079,"parent-ramp-us":20000000,"purge-done-us":6000000,
    "purge-slack-us":500000,"source-kind":2,"upper-kind":1}},
   "limits":{{"conn-idle-us":15000000,"dial-timeout-us":400000,"max-attempts":6,"max-open":20000,
