--- a/review/standin/endpoint.rs
+++ b/review/standin/endpoint.rs
@@ -82,7 +82,9 @@
             let endpoint = self.clone();
             thread::spawn(move || {
                 if let Err(error) = endpoint.serve(stream) {
-                    endpoint.record.line(&format!("endpoint {}: connection ended: {error}", endpoint.nature.name));
+                    endpoint
+                        .record
+                        .line(&format!("endpoint {}: connection ended: {error}", endpoint.nature.name));
                 }
             });
         }
--- a/review/standin/router.rs
+++ b/review/standin/router.rs
@@ -98,13 +98,22 @@
         Ok(answer[9] == READY_CODE)
     }
 
+    /// Whether the program still runs.
+    pub fn is_running(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
     /// Puts a new configuration in the place of the old one, and sends SIGHUP to the program, by its id.
     pub fn reconfigure(&self, setup: &Setup) -> io::Result<()> {
         let (new, config) = (self.folder.join("config.new"), self.folder.join("config.json"));
         fs::write(&new, configuration(self.address, setup))?;
         fs::rename(&new, &config)?;
         let names: Vec<&str> = setup.classes.iter().map(|class| class.name).collect();
-        self.record.line(&format!("platform: SIGHUP, channel {}, classes {}", setup.channel, names.join(" ")));
+        self.record.line(&format!(
+            "platform: SIGHUP, channel {}, classes {}",
+            setup.channel,
+            names.join(" ")
+        ));
         Command::new("/bin/sh").args(["-c", &format!("kill -HUP {}", self.child.id())]).status().map(drop)
     }
 }
@@ -140,7 +149,8 @@
     let instances = setup.listed.iter().map(instance).collect::<Vec<_>>().join(",");
     let Setup { channel, memory_mb, .. } = setup;
     let classes = setup.classes.iter().map(Class::to_json).collect::<Vec<_>>().join(",");
-    let by_class = |value: &dyn Fn(&Class) -> String| setup.classes.iter().map(value).collect::<Vec<_>>().join(",");
+    let by_class =
+        |value: &dyn Fn(&Class) -> String| setup.classes.iter().map(value).collect::<Vec<_>>().join(",");
     let (no_time, writes) = (by_class(&|_| "0".to_owned()), by_class(&|class| class.is_write.to_string()));
     format!(
         r#"{{"name":"n1","listen":"{listen}","seed":"8c1f30d27a5be964",
