Review: case 3 is the slow reader's lost answers again; the entry keeps its evidence beside the cases

Cause: lost answers of accepted requests weigh more than work for a client that has gone, so the entry is no graver. Change: review/3 as it was; the stand-ins play the entry (taken-back, taken-back-pause) and the slow readers of a small memory for whoever wants to see them.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
-exec "$folder/../run-case.sh" "$folder" taken-back
+exec "$folder/../run-case.sh" "$folder" slow-reader-idle
--- a/review/standin/client.rs
+++ b/review/standin/client.rs
@@ -1,4 +1,4 @@
-//! A client of the frame protocol that judges what becomes of its requests.
+//! A client of the frame protocol that reads at a stated rate and judges what becomes of its requests.
 //!
 //! It keeps the protocol page: at most 32 open requests, new stream and trace for each, no new request after a notice
 //! to leave, and a request that crosses the end of its connection within 50 ms is sent again, once, on a new one.
@@ -9,6 +9,7 @@
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread;
 use std::time::{Duration, Instant};
 
 const READ_CHUNK_BYTES: usize = 16 * 1024;
@@ -32,6 +33,8 @@
     pub batches: Vec<usize>,
     /// The next batch is sent once no more requests than this are open.
     pub refill_at: usize,
+    /// Bytes a second; `None`: as fast as they come.
+    pub read_rate: Option<u64>,
     pub object_size: usize,
     pub class: &'static str,
     /// Whether each request carries an idempotency key.
@@ -86,6 +89,7 @@
     record: &'a Record,
     stream: TcpStream,
     started_at: Instant,
+    read_bytes: u64,
     input: Vec<u8>,
     open: HashMap<u32, Open>,
     last_stream: u32,
@@ -137,6 +141,7 @@
             record,
             stream,
             started_at: Instant::now(),
+            read_bytes: 0,
             input: Vec::new(),
             open: HashMap::new(),
             last_stream: 0,
@@ -198,10 +203,17 @@
     }
 
     fn read_some(&mut self) -> io::Result<()> {
+        if let Some(rate) = self.plan.read_rate {
+            let due = Duration::from_secs_f64(self.read_bytes as f64 / rate as f64);
+            thread::sleep(due.saturating_sub(self.started_at.elapsed()));
+        }
         let mut chunk = [0; READ_CHUNK_BYTES];
         match self.stream.read(&mut chunk) {
             Ok(0) => return Err(io::Error::other("closed by the router")),
-            Ok(count) => self.input.extend_from_slice(&chunk[..count]),
+            Ok(count) => {
+                self.read_bytes += count as u64;
+                self.input.extend_from_slice(&chunk[..count]);
+            }
             Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
             Err(error) => return Err(error),
         }
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -47,6 +47,8 @@
 /// `rules.drain-grace-us`, and the 50 ms by which every limit is longer on sockets.
 const DRAIN_GRACE_MS: u64 = 1_050;
 const USUAL_MEMORY_MB: usize = 192;
+const LEAST_MEMORY_MB: usize = 32;
+const SLOW_READERS: u64 = 4;
 /// A long class deadline, so that every answer could be read to its end within the client's patience.
 const LONG_DEADLINE_MS: u64 = 9_000;
 
@@ -82,7 +84,10 @@
     match name {
         "keyed-repeat" => keyed_repeat(case),
         "class-returns" => class_returns(case),
+        "slow-reader-idle" => slow_reader_idle(case),
+        "slow-readers-memory" => slow_readers_memory(case),
         "taken-back" => taken_back(case),
+        "taken-back-pause" => taken_back_pause(case),
         _ => Err(io::Error::other("unknown case")),
     }
 }
@@ -178,6 +183,46 @@
     }
 }
 
+fn slow_reader(number: u64, router: &Router, case: &Case, batches: Vec<usize>, refill_at: usize) -> Plan {
+    Plan {
+        name: format!("c{number}"),
+        address: router.address,
+        batches,
+        refill_at,
+        read_rate: case.has_trouble.then_some(SLOW_READ_BYTES_PER_S),
+        object_size: OBJECT_BYTES,
+        class: CLIPS.name,
+        is_keyed: false,
+        patience_ms: LONG_DEADLINE_MS,
+        time_limit: CLIENT_TIME_LIMIT,
+    }
+}
+
+/// One client reads slowly; after its first answers it sends further requests while it still reads the others.
+fn slow_reader_idle(case: &Case) -> io::Result<bool> {
+    let World { mut router, .. } = case.start_for_slow_readers(USUAL_MEMORY_MB)?;
+    let plan = slow_reader(1, &router, case, vec![16, 8], 3);
+    let outcome = client::play(&plan, &case.record);
+    Ok(case.judge(&outcome, &mut router))
+}
+
+/// Some clients read slowly, each with as many requests open as may be, from a router with the least memory. No case
+/// of its own; the report says what it shows.
+fn slow_readers_memory(case: &Case) -> io::Result<bool> {
+    let World { mut router, .. } = case.start_for_slow_readers(LEAST_MEMORY_MB)?;
+    let plans: Vec<Plan> =
+        (1..=SLOW_READERS).map(|number| slow_reader(number, &router, case, vec![32], 0)).collect();
+    let mut total = Outcome::default();
+    thread::scope(|scope| {
+        let running: Vec<_> =
+            plans.iter().map(|plan| scope.spawn(|| client::play(plan, &case.record))).collect();
+        for client in running {
+            total.add(client.join().unwrap_or_default());
+        }
+    });
+    Ok(case.judge(&total, &mut router))
+}
+
 /// Keyed requests are out at the branch's caches, which begin to drain; then their connections are reset.
 fn keyed_repeat(case: &Case) -> io::Result<bool> {
     let images = Class { name: "images", semantics: "deduplicated", scope: "zone", ..CLIPS };
@@ -188,6 +233,7 @@
         address: router.address,
         batches: vec![6],
         refill_at: 0,
+        read_rate: None,
         object_size: SMALL_OBJECT_BYTES,
         class: "images",
         is_keyed: true,
@@ -241,6 +287,7 @@
             address,
             batches: vec![1],
             refill_at: 0,
+            read_rate: None,
             object_size: SMALL_OBJECT_BYTES,
             class,
             is_keyed: class == EDITS.name,
@@ -305,11 +352,20 @@
     late.len()
 }
 
+/// No case of its own, but the entry of KNOWN-RED.txt without a pause of the process; the report says what it shows.
 /// A client reads slowly, so that the router stops to read from it; meanwhile the client sends edits and takes them back.
 fn taken_back(case: &Case) -> io::Result<bool> {
     let World { runs, mut router, .. } = case.start_for_slow_readers(USUAL_MEMORY_MB)?;
     let rate = case.has_trouble.then_some(SLOW_READ_BYTES_PER_S);
-    let late = taken_back::play(router.address, rate, &runs, &case.record)?;
+    let late = taken_back::play_slow_reader(router.address, rate, &runs, &case.record)?;
+    case.record.say(&format!("{late} edits came to the origin after they had been taken back"));
+    Ok(late == 0 && case.still_runs(&mut router))
+}
+
+/// No case of its own, but the entry of KNOWN-RED.txt: the router is stopped and goes on.
+fn taken_back_pause(case: &Case) -> io::Result<bool> {
+    let World { runs, mut router, .. } = case.start_for_slow_readers(USUAL_MEMORY_MB)?;
+    let late = taken_back::play_paused(&router, case.has_trouble, &runs, &case.record)?;
     case.record.say(&format!("{late} edits came to the origin after they had been taken back"));
     Ok(late == 0 && case.still_runs(&mut router))
 }
--- a/review/standin/router.rs
+++ b/review/standin/router.rs
@@ -98,6 +98,12 @@
         Ok(answer[9] == READY_CODE)
     }
 
+    /// Sends a signal to the program, by its id.
+    pub fn signal(&self, name: &str) -> io::Result<()> {
+        self.record.line(&format!("platform: SIG{name}"));
+        Command::new("/bin/sh").args(["-c", &format!("kill -{name} {}", self.child.id())]).status().map(drop)
+    }
+
     /// Whether the program still runs.
     pub fn is_running(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
@@ -110,11 +116,11 @@
         fs::rename(&new, &config)?;
         let names: Vec<&str> = setup.classes.iter().map(|class| class.name).collect();
         self.record.line(&format!(
-            "platform: SIGHUP, channel {}, classes {}",
+            "platform: new configuration, channel {}, classes {}",
             setup.channel,
             names.join(" ")
         ));
-        Command::new("/bin/sh").args(["-c", &format!("kill -HUP {}", self.child.id())]).status().map(drop)
+        self.signal("HUP")
     }
 }
 
--- a/review/standin/taken_back.rs
+++ b/review/standin/taken_back.rs
@@ -1,8 +1,9 @@
-//! The case of the edits that a client takes back while the router does not read from its connection.
+//! Edits that a client takes back while the router does not read from its connection: KNOWN-RED.txt has such a failure.
 
 use crate::client::{request_frame, take_frame};
 use crate::endpoint::{Run, Runs};
 use crate::record::Record;
+use crate::router::Router;
 use std::collections::HashMap;
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -22,12 +23,20 @@
 const READ_TIMEOUT: Duration = Duration::from_millis(20);
 /// Time for which everything is watched.
 const OBSERVED: Duration = Duration::from_secs(16);
+const GOES_ON_AFTER: Duration = Duration::from_millis(1_200);
+const OBSERVED_AFTER_PAUSE: Duration = Duration::from_secs(4);
 /// What may pass between a type 9 and the moment from which no attempt may begin: twice the 50 ms by which every limit
 /// is longer on sockets.
 const TOLERANCE_MS: u64 = 100;
 
-/// Plays the client; returns how many edits came to an endpoint after they had been taken back.
-pub fn play(address: SocketAddr, rate: Option<u64>, runs: &Runs, record: &Record) -> io::Result<usize> {
+/// A slow reader: has reads open, and the router does not read from it meanwhile. Returns how many edits came to an
+/// endpoint after they had been taken back.
+pub fn play_slow_reader(
+    address: SocketAddr,
+    rate: Option<u64>,
+    runs: &Runs,
+    record: &Record,
+) -> io::Result<usize> {
     let mut stream = TcpStream::connect(address)?;
     stream.set_nodelay(true)?;
     let reading = stream.try_clone()?;
@@ -40,6 +49,31 @@
     }
     record.line(&format!("client: sent {READS} reads"));
     thread::sleep(EDITS_AFTER);
+    let taken_back = send_and_take_back(&mut stream, record)?;
+    let answered = reader.join().unwrap_or_default();
+    record.say(&format!("{answered} answers were read"));
+    Ok(begun_late(&taken_back, &runs.all(), record))
+}
+
+/// A client of a router that is stopped and goes on, if `router` says so.
+pub fn play_paused(router: &Router, has_pause: bool, runs: &Runs, record: &Record) -> io::Result<usize> {
+    let mut stream = TcpStream::connect(router.address)?;
+    stream.set_nodelay(true)?;
+    thread::sleep(EDITS_AFTER);
+    if has_pause {
+        router.signal("STOP")?;
+    }
+    let taken_back = send_and_take_back(&mut stream, record)?;
+    thread::sleep(GOES_ON_AFTER);
+    if has_pause {
+        router.signal("CONT")?;
+    }
+    thread::sleep(OBSERVED_AFTER_PAUSE);
+    Ok(begun_late(&taken_back, &runs.all(), record))
+}
+
+/// Sends the edits and takes them back; returns when each was taken back.
+fn send_and_take_back(stream: &mut TcpStream, record: &Record) -> io::Result<HashMap<String, u64>> {
     for number in READS + 1..=READS + EDITS {
         let (trace, key) = (trace(number), format!("{number:032x}"));
         let fields = fields("record-edits", &trace, PATIENCE_MS, "0c00000000000001", "48", Some(&key));
@@ -56,9 +90,7 @@
         taken_back.insert(trace(number), record.now_ms());
         record.line(&format!("client: took back edit {} (type 9)", trace(number)));
     }
-    let answered = reader.join().unwrap_or_default();
-    record.say(&format!("{answered} answers were read"));
-    Ok(begun_late(&taken_back, &runs.all(), record))
+    Ok(taken_back)
 }
 
 fn trace(number: u32) -> String {
