--- a/review/standin/channel.rs
+++ b/review/standin/channel.rs
@@ -1,6 +1,7 @@
 //! A sound command channel: reads the number of the last event, then writes every later event, and an empty frame with
 //! the number of the last event each second.
 
+use crate::endpoint::own_address;
 use crate::record::Record;
 use std::io::{self, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
@@ -61,7 +62,7 @@
 
 impl Channel {
     pub fn start(events: &Events) -> io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let listener = TcpListener::bind(own_address())?;
         listener.set_nonblocking(true)?;
         let channel =
             Channel { address: listener.local_addr()?, events: events.clone(), retired_at: Arc::default() };
--- a/review/standin/endpoint.rs
+++ b/review/standin/endpoint.rs
@@ -14,6 +14,12 @@
     object.bytes().cycle().take(size).collect()
 }
 
+/// A free port of a loopback address that this process alone uses, so that no connection takes the port meanwhile.
+pub fn own_address() -> SocketAddr {
+    let process = std::process::id();
+    SocketAddr::from(([127, 1 + (process % 250) as u8, (process / 250 % 250) as u8, 1], 0))
+}
+
 pub fn unix_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |age| age.as_millis() as u64)
 }
@@ -64,7 +70,7 @@
 impl Endpoint {
     /// Starts an endpoint on a free port of a loopback address.
     pub fn start(nature: Nature, runs: &Runs, record: &Record) -> io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let listener = TcpListener::bind(own_address())?;
         let endpoint = Endpoint {
             address: listener.local_addr()?,
             nature,
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -27,6 +27,8 @@
 const EXIT_NOT_RUN: u8 = 2;
 /// The largest object of the protocol page.
 const OBJECT_BYTES: usize = 240_000;
+/// A run may take 120 s.
+const LONGEST_RUN: Duration = Duration::from_secs(110);
 const CLIENT_TIME_LIMIT: Duration = Duration::from_secs(60);
 /// Rate of a slow reader; the page's limit is 1 MB a second at most.
 const SLOW_READ_BYTES_PER_S: u64 = 500_000;
@@ -65,6 +67,7 @@
         eprintln!("usage: review-standin CASE RUN_COMMAND RECORD_FILE");
         return EXIT_NOT_RUN.into();
     };
+    router::watch(LONGEST_RUN);
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let played = Record::create(record).and_then(|record| {
         let case = Case { run: run.clone(), record, has_trouble };
--- a/review/standin/router.rs
+++ b/review/standin/router.rs
@@ -1,11 +1,13 @@
 //! The program under test, started by the command of the deploy file.
 
 use crate::channel::Listed;
+use crate::endpoint::own_address;
 use crate::record::Record;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 use std::{fs, thread};
 
@@ -53,10 +55,26 @@
     }
 }
 
+/// Id of the program's process, for the watchdog; 0: none was started.
+static PROCESS: AtomicU32 = AtomicU32::new(0);
+
+/// Ends the program and the run, as one that could not be played, once a run has taken too long.
+pub fn watch(longest: Duration) {
+    thread::spawn(move || {
+        thread::sleep(longest);
+        let process = PROCESS.load(Ordering::SeqCst);
+        if process != 0 {
+            let _ = Command::new("/bin/sh").args(["-c", &format!("kill -KILL {process}")]).status();
+        }
+        eprintln!("the run took too long");
+        std::process::exit(2);
+    });
+}
+
 impl Router {
     /// Starts the program and waits until it says that it is ready.
     pub fn start(run: &str, setup: &Setup, record: &Record) -> io::Result<Self> {
-        let address = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+        let address = TcpListener::bind(own_address())?.local_addr()?;
         let folder = std::env::temp_dir().join(format!("larchdale-review-{}", std::process::id()));
         fs::create_dir_all(&folder)?;
         let config = folder.join("config.json");
@@ -72,15 +90,16 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
-        let router = Router { child, address, folder, record: record.clone() };
+        PROCESS.store(child.id(), Ordering::SeqCst);
+        let mut router = Router { child, address, folder, record: record.clone() };
         router.await_ready()?;
         record.line(&format!("router: ready at {address}"));
         Ok(router)
     }
 
-    fn await_ready(&self) -> io::Result<()> {
+    fn await_ready(&mut self) -> io::Result<()> {
         let started_at = Instant::now();
-        while started_at.elapsed() < START_TIMEOUT {
+        while started_at.elapsed() < START_TIMEOUT && self.is_running() {
             if self.is_ready().unwrap_or(false) {
                 return Ok(());
             }
