Idempotent requests are repeated outside the deduplication scope and window

Change: Router::discards_repeats asks for scope and window only where repeats are recognised by a key. Result: an_idempotent_request_that_may_have_run_is_sent_again_outside_scope_and_window failed before and passes; all other tests of tests/rules.rs and the hashes of tests/router_decisions.rs are as before.

--- a/src/routing/retry.rs
+++ b/src/routing/retry.rs
@@ -63,10 +63,13 @@
     }
 
     /// Returns whether an endpoint deduplicates a request that may have run already; true if it cannot have
-    /// run.
+    /// run, or if running it again does no harm.
     pub(super) fn discards_repeats(&self, pending: &PendingRequest, index: EndpointIndex) -> bool {
         let Some(first) = pending.first_execution else { return true };
         let Some(class) = self.settings.classes.get(pending.request.class) else { return false };
+        if class.idempotency == Idempotency::Idempotent {
+            return true;
+        }
         let executed_at = &self.endpoints[first.endpoint].endpoint;
         let candidate = &self.endpoints[index].endpoint;
         let same_zone = executed_at.zone == candidate.zone;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -67,6 +67,18 @@
     assert!(is_failed(&next) && !sends_attempt(&next) && !is_rejected(&next), "past the window: {next:?}");
 }
 
+/// Guards against a limit on idempotent requests, which may run anywhere and at any time.
+#[test]
+fn an_idempotent_request_that_may_have_run_is_sent_again_outside_scope_and_window() {
+    let mut set = settings();
+    set.classes[VIDEO].deduplication_scope = DeduplicationScope::Cell;
+    set.classes[VIDEO].deduplication_window = MS;
+    let mut r = router_with(set, fleet());
+    send_request(&mut r, T0 + S, "a", VIDEO, 5);
+    let next = end_attempt(&mut r, T0 + S + 2 * MS, "a", 0, AttemptStatus::Reset);
+    assert!(sent_attempt(&next).target.starts_with("cache-3"), "{next:?}");
+}
+
 /// A refusal says that trying again does no harm, and when: that must be within the window of what may have run.
 /// Seen failing where a refusal is given whatever the window: the client's next try was one write more.
 #[test]
