A keyed request that may have run is sent and filled only where its repeats are discarded

Cause: the route straight to a parent took the fill's source, and Router::pick_source never asked whether its parents discard repeats; only caches and the origin were asked. The window was left out with it, and so was the source of a fill for a repeat. Change: the rule stands once, in routing/deduplication.rs: a target must be in the scope of the first target, a source in that of the first target or of the source that was named to it, both within the window. Each selection of a target or a source asks it; the direct route selects its target by itself instead of taking the fill's source. Result: three new tests of tests/rules.rs failed before (scope, window, source) and pass.

--- a/src/routing/attempts.rs
+++ b/src/routing/attempts.rs
@@ -153,7 +153,7 @@
     fn route(&self, pending: &PendingRequest) -> Option<Route> {
         let class = self.settings.classes.get(pending.request.class)?;
         if class.uncacheable && self.settings.may_bypass_caches {
-            let target = self.pick_origin(pending)?;
+            let target = self.pick_origin_as_target(pending)?;
             return Some(Route { target, source: None, fetch: None });
         }
         if let Some(warming) = self.pick_warming_route(pending) {
@@ -177,22 +177,34 @@
             return None;
         }
         let cached_only = congested_origin.is_some() && !is_copy_absent;
-        let target = self.pick_cache(pending).or_else(|| source.filter(|_| self.may_bypass_caches()))?;
-        let source = if source == Some(target) {
-            self.pick_origin(pending).filter(|&origin| origin != target && !cached_only)
-        } else {
-            source
+        let (target, source) = match self.pick_cache(pending) {
+            Some(cache) => (cache, source),
+            None => self.direct_route(pending, source, cached_only)?,
         };
         let fetch = self.fetch(&pending.request, class, source.unwrap_or(target), cached_only);
         Some(Route { target, source, fetch: Some(fetch) })
     }
 
+    /// Returns the target and the source of a request that is sent past the caches. `source` is the endpoint
+    /// that a cache would have been filled from; without one there is no capacity for the request.
+    fn direct_route(
+        &self,
+        pending: &PendingRequest,
+        source: Option<EndpointIndex>,
+        cached_only: bool,
+    ) -> Option<(EndpointIndex, Option<EndpointIndex>)> {
+        let target =
+            source.filter(|_| self.may_bypass_caches()).and_then(|_| self.pick_direct_target(pending))?;
+        let origin = self.pick_origin_as_source(pending);
+        Some((target, origin.filter(|&origin| origin != target && !cached_only)))
+    }
+
     /// Returns the endpoint that a miss is filled from. `None` when links and sources are at their limits:
     /// more fills would make all fills late and occupy the caches, so a cache serves only the copies that it
     /// has.
     fn fill_source(&self, pending: &PendingRequest, class: &Class) -> Option<EndpointIndex> {
         if class.uncacheable {
-            return self.pick_origin(pending).or_else(|| self.pick_source(pending));
+            return self.pick_origin_as_source(pending).or_else(|| self.pick_source(pending));
         }
         let admits_fill =
             self.constraints.admits_fill(self.now, pending.request.class, pending.transfer_time_us);
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -13,6 +13,7 @@
 mod capacity;
 mod concurrency;
 pub mod constraints;
+pub mod deduplication;
 mod endpoint;
 mod endpoint_table;
 pub mod events;
--- a/src/routing/outcomes.rs
+++ b/src/routing/outcomes.rs
@@ -2,10 +2,10 @@
 //! of the request.
 
 use super::endpoint_table::EndpointIndex;
-use super::events::{Action, AttemptStatus, CacheStatus, Id, Idempotency, Outcome, OutcomeDetail, Role};
+use super::events::{Action, AttemptStatus, CacheStatus, Id, Outcome, OutcomeDetail, Role};
 use super::latency::{Timeliness, TOLERATED_LATE_RATE};
 use super::outlier_detection::{CERTAIN_FAILURE_STEP, FAILURE_RATE_STEP};
-use super::request::{Attempt, CachedCopy, ClientState, FirstExecution, PendingRequest};
+use super::request::{Attempt, CachedCopy, ClientState, PendingRequest};
 use super::retry::RetryCost;
 use super::Router;
 
@@ -215,9 +215,8 @@
         actions: &mut Vec<Action>,
     ) {
         if may_have_run(outcome.status) {
-            let execution = FirstExecution { sent_at: attempt.sent_at, endpoint: attempt.target };
-            pending.first_execution.get_or_insert(execution);
-            if !self.is_repeatable(pending.request.class) {
+            pending.first_execution.get_or_insert_with(|| self.execution_of(attempt));
+            if !self.repeat_policy(&pending).is_some_and(|policy| policy.allows_repeats()) {
                 return self.finish_without_response(pending, actions);
             }
         }
@@ -237,12 +236,6 @@
         self.send_or_finish(pending, actions);
     }
 
-    /// Returns whether a request that may have run may run again.
-    fn is_repeatable(&self, class: usize) -> bool {
-        let class = self.settings.classes.get(class);
-        class.is_some_and(|class| class.idempotency != Idempotency::NotIdempotent)
-    }
-
     /// Records in the request what the next attempt must avoid, and returns the cost of the retry.
     fn record_failed_attempt(
         &mut self,
--- a/src/routing/request.rs
+++ b/src/routing/request.rs
@@ -1,5 +1,6 @@
 //! Client requests without a final answer, and their attempts.
 
+use super::deduplication::FirstExecution;
 use super::endpoint_table::EndpointIndex;
 use super::events::{Micros, Request};
 
@@ -38,13 +39,6 @@
     }
 }
 
-/// The first attempt that may have run; its endpoint determines which others deduplicate repeats.
-#[derive(Clone, Copy)]
-pub(super) struct FirstExecution {
-    pub(super) sent_at: Micros,
-    pub(super) endpoint: EndpointIndex,
-}
-
 /// Whether the client still waits for a response.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) enum ClientState {
@@ -102,8 +96,7 @@
     /// Returns the endpoints whose slots in the table must not be reused while the request is pending. The
     /// participants of the attempt in flight are included, because its capacity may have been released early.
     pub(super) fn referenced_endpoints(&self) -> impl Iterator<Item = EndpointIndex> + '_ {
-        let executed_at = self.first_execution.map(|execution| execution.endpoint);
         let occupied = self.attempt.iter().flat_map(Attempt::participants);
-        self.failed_targets.iter().chain(&self.failed_sources).copied().chain(executed_at).chain(occupied)
+        self.failed_targets.iter().chain(&self.failed_sources).copied().chain(occupied)
     }
 }
--- a/src/routing/retry.rs
+++ b/src/routing/retry.rs
@@ -1,8 +1,9 @@
 //! Retries, and the final answer to requests that are not retried.
 
+use super::deduplication::{FirstExecution, Location, RepeatPolicy};
 use super::endpoint_table::EndpointIndex;
-use super::events::{Action, AttemptStatus, Class, DeduplicationScope, Idempotency, Micros};
-use super::request::PendingRequest;
+use super::events::{Action, AttemptStatus, Idempotency, Micros};
+use super::request::{Attempt, PendingRequest};
 use super::Router;
 
 /// Retry tokens added per request: during a lasting failure retries add at most a fifth to the attempts.
@@ -62,23 +63,37 @@
         in_time && attempts_left && affordable
     }
 
-    /// Returns whether an endpoint deduplicates a request that may have run already; true if it cannot have
-    /// run, or if running it again does no harm.
-    pub(super) fn discards_repeats(&self, pending: &PendingRequest, index: EndpointIndex) -> bool {
-        let Some(first) = pending.first_execution else { return true };
-        let Some(class) = self.settings.classes.get(pending.request.class) else { return false };
-        if class.idempotency == Idempotency::Idempotent {
-            return true;
+    /// Returns what the class of a request allows once the request may have run.
+    pub(super) fn repeat_policy(&self, pending: &PendingRequest) -> Option<RepeatPolicy> {
+        self.settings.classes.get(pending.request.class).map(RepeatPolicy::from)
+    }
+
+    /// Returns the record of an attempt that may have run.
+    pub(super) fn execution_of(&self, attempt: &Attempt) -> FirstExecution {
+        FirstExecution {
+            sent_at: attempt.sent_at,
+            target: self.location(attempt.target),
+            source: attempt.source_beside_target().map(|source| self.location(source)),
         }
-        let executed_at = &self.endpoints[first.endpoint].endpoint;
-        let candidate = &self.endpoints[index].endpoint;
-        let same_zone = executed_at.zone == candidate.zone;
-        let in_scope = match class.deduplication_scope {
-            DeduplicationScope::All => true,
-            DeduplicationScope::Zone => same_zone,
-            DeduplicationScope::Cell => same_zone && executed_at.cell == candidate.cell,
-        };
-        in_scope && self.now < first.sent_at.saturating_add(class.deduplication_window)
+    }
+
+    /// Returns whether a request may be sent to an endpoint; true if the request cannot have run before.
+    pub(super) fn may_be_target(&self, pending: &PendingRequest, index: EndpointIndex) -> bool {
+        let Some(first) = pending.first_execution else { return true };
+        let policy = self.repeat_policy(pending);
+        policy.is_some_and(|policy| policy.allows_target(self.now, &first, self.location(index)))
+    }
+
+    /// Returns whether a miss of a request may be filled from an endpoint; true if the request cannot have run
+    /// before.
+    pub(super) fn may_be_source(&self, pending: &PendingRequest, index: EndpointIndex) -> bool {
+        let Some(first) = pending.first_execution else { return true };
+        let policy = self.repeat_policy(pending);
+        policy.is_some_and(|policy| policy.allows_source(self.now, &first, self.location(index)))
+    }
+
+    fn location(&self, index: EndpointIndex) -> Location {
+        Location::from(&self.endpoints[index].endpoint)
     }
 
     pub(super) fn is_idempotent(&self, class: usize) -> bool {
@@ -111,16 +126,7 @@
     /// Returns whether the client may safely repeat the request after `retry_after`.
     fn is_safe_to_repeat(&self, pending: &PendingRequest, retry_after: Micros) -> bool {
         let Some(first) = pending.first_execution else { return true };
-        // A repeat after the deduplication window would run a second time.
-        let is_deduplicated = |class: &Class| {
-            class.deduplication_scope == DeduplicationScope::All
-                && self.now + retry_after < first.sent_at.saturating_add(class.deduplication_window)
-        };
-        let class = self.settings.classes.get(pending.request.class);
-        class.is_some_and(|class| match class.idempotency {
-            Idempotency::Idempotent => true,
-            Idempotency::WithKey => is_deduplicated(class),
-            Idempotency::NotIdempotent => false,
-        })
+        let policy = self.repeat_policy(pending);
+        policy.is_some_and(|policy| policy.allows_client_retry(self.now + retry_after, &first))
     }
 }
--- a/src/routing/selection.rs
+++ b/src/routing/selection.rs
@@ -99,7 +99,7 @@
     /// Returns the cache for a request's next attempt.
     pub(super) fn pick_cache(&self, pending: &PendingRequest) -> Option<EndpointIndex> {
         let order = self.cache_order(pending.request.object);
-        let is_allowed = |index| self.discards_repeats(pending, index) && self.admits_attempt(index, pending);
+        let is_allowed = |index| self.may_be_target(pending, index) && self.admits_attempt(index, pending);
         // A cache above its capacity answers every request late: further requests go to the next cache.
         let is_usable = |index| is_allowed(index) && self.is_available(index) && self.has_capacity(index);
         let is_untried = |index: EndpointIndex| !pending.failed_targets.contains(&index);
@@ -141,22 +141,49 @@
 
     /// Returns the parent that a miss is filled from, or else the origin.
     pub(super) fn pick_source(&self, pending: &PendingRequest) -> Option<EndpointIndex> {
+        self.pick_upper_tier(pending, &|index| self.may_be_source(pending, index))
+    }
+
+    /// Returns the parent, or else the origin, that a request is sent to past the caches.
+    pub(super) fn pick_direct_target(&self, pending: &PendingRequest) -> Option<EndpointIndex> {
+        self.pick_upper_tier(pending, &|index| self.may_be_target(pending, index))
+    }
+
+    /// Returns the parent, or else the origin, that `is_permitted` accepts.
+    fn pick_upper_tier(
+        &self,
+        pending: &PendingRequest,
+        is_permitted: &dyn Fn(EndpointIndex) -> bool,
+    ) -> Option<EndpointIndex> {
         let object = pending.request.object;
         let parents = self.rendezvous_order(Role::Parent, object);
         let is_working = |index: EndpointIndex| {
             !pending.failed_sources.contains(&index)
+                && is_permitted(index)
                 && self.is_available(index)
                 && self.admits_attempt(index, pending)
         };
         // The object stays with its first working parent even when that is full: its excess load would
         // overload the next parent.
         let parent = self.pick_by_affinity(&parents, object, is_working);
-        parent.filter(|&index| self.has_capacity(index)).or_else(|| self.pick_origin(pending))
+        parent
+            .filter(|&index| self.has_capacity(index))
+            .or_else(|| self.usable_origin(pending).filter(|&origin| is_permitted(origin)))
+    }
+
+    /// Returns the origin if a miss may be filled from it.
+    pub(super) fn pick_origin_as_source(&self, pending: &PendingRequest) -> Option<EndpointIndex> {
+        self.usable_origin(pending).filter(|&origin| self.may_be_source(pending, origin))
+    }
+
+    /// Returns the origin if the request may be sent to it.
+    pub(super) fn pick_origin_as_target(&self, pending: &PendingRequest) -> Option<EndpointIndex> {
+        self.usable_origin(pending).filter(|&origin| self.may_be_target(pending, origin))
     }
 
-    /// Returns the origin if it may be sent the request. It fails when overloaded, so only uncacheable
-    /// requests, which must run there, are exempt from its concurrency limit.
-    pub(super) fn pick_origin(&self, pending: &PendingRequest) -> Option<EndpointIndex> {
+    /// Returns the origin unless it is failing or has no capacity. It fails when overloaded, so only
+    /// uncacheable requests, which must run there, are exempt from its concurrency limit.
+    fn usable_origin(&self, pending: &PendingRequest) -> Option<EndpointIndex> {
         let class = self.settings.classes.get(pending.request.class);
         let must_run_there = class.is_some_and(|class| class.uncacheable);
         self.endpoints.origin().filter(|&origin| {
@@ -166,7 +193,7 @@
                     && self.admits_attempt(origin, pending)
                     && !pending.failed_sources.contains(&origin)
             };
-            (must_run_there || is_usable()) && self.discards_repeats(pending, origin)
+            must_run_there || is_usable()
         })
     }
 
--- a/tests/router_decisions.rs
+++ b/tests/router_decisions.rs
@@ -623,17 +623,17 @@
         Play { settings: silent.clone(), ..play("calm, nothing told", 3, 0xf852574eff7a4175) },
         Play {
             trouble: vec![trouble(&["cache-3-1"], 3 * S, 12 * S, &[ConnectFailed], 100)],
-            ..play("a cache without connections", 4, 0xaf2acdbede9f3293)
+            ..play("a cache without connections", 4, 0x54423b2bc752bb89)
         },
         Play {
             settings: hits,
             trouble: vec![trouble(&some, 3 * S, 13 * S, &[Error, TimedOut, Rejected], 80)],
-            ..play("a cache and a parent fail, hits told", 5, 0x3191710e3e60ee42)
+            ..play("a cache and a parent fail, hits told", 5, 0x2ba157795b06cdad)
         },
         Play {
             settings: silent,
             trouble: vec![trouble(&some, 2 * S, 14 * S, &[Error, Reset, TimedOut, Rejected], 70)],
-            ..play("a cache and a parent fail, nothing told", 6, 0xadea14427a69c974)
+            ..play("a cache and a parent fail, nothing told", 6, 0xeb83deb5c5bbe334)
         },
         Play {
             trouble: vec![trouble(&caches, 4 * S, 9 * S, &[Error, Reset, ConnectFailed], 90)],
@@ -641,25 +641,25 @@
         },
         Play {
             trouble: vec![slow(&["origin"], 2 * S, 15 * S, 9)],
-            ..play("a slow origin", 8, 0x508e769f512f7362)
+            ..play("a slow origin", 8, 0x928f4fd91e8c380e)
         },
         Play {
             trouble: vec![slow(&["parent"], 2 * S, 9 * S, 8), slow(&["cache-3-2"], 12 * S, 20 * S, 8)],
             ..play("slow parents, then a slow cache", 9, 0x59f39d9bf69d3807)
         },
         Play { lost_percent: 8, ..play("lost answers", 10, 0x87c3dee8b79e3a36) },
-        Play { odd_percent: 30, ..play("any code and note", 11, 0x07d1f5142edf0367) },
+        Play { odd_percent: 30, ..play("any code and note", 11, 0x60da34e09183baf8) },
         Play { gap: 7 * MS, steps: 4_000, ..play("more than there is room for", 12, 0xf3cd8f69e5d44a9e) },
         Play { tick: 50 * MS, lost_percent: 8, ..play("a coarse clock", 13, 0x3b9e375f8fc19fed) },
         Play {
             settings: hits_told,
             odd_percent: 40,
-            ..play("any code and note, hits told", 14, 0xc231c8814c1e9e60)
+            ..play("any code and note, hits told", 14, 0xb46e5bfb2be2b968)
         },
         Play {
             settings: none_told,
             odd_percent: 40,
-            ..play("any code and note, nothing told", 15, 0xc1b4a44b65d719a3)
+            ..play("any code and note, nothing told", 15, 0xf3e94390ec798e14)
         },
     ]
 }
@@ -702,13 +702,13 @@
             ..play("slow start, none told", 23, 0x12c3d5efd4205a01)
         },
         Play { mix: guided, fleet: fleet_of_cells(), ..play("guidance", 24, 0xc3ebdb8fcb90a80a) },
-        Play { guidance: Some(guidance), gap: 12 * MS, ..play("shards on the move", 25, 0x90d3b9a9efb419ff) },
+        Play { guidance: Some(guidance), gap: 12 * MS, ..play("shards on the move", 25, 0x4251efb93f27808b) },
         Play {
             mix: Mix { settings: 15, ..churn },
             fleet: fleet_of_cells(),
             ..play("settings change", 26, 0x5b097fcfd1235439)
         },
-        Play { mix: churn, settings: watched, ..play("servers come and go", 27, 0xfa6d741b2cf6642a) },
+        Play { mix: churn, settings: watched, ..play("servers come and go", 27, 0x498d229e6458dbc7) },
         Play {
             steps: 700,
             gap: 4 * MS,
@@ -718,13 +718,13 @@
         },
         Play { settings: many, odd_percent: 8, ..play("hundreds of routers", 29, 0x7920e02268d3e0ed) },
         Play { settings: without_sizes(), gap: 10 * MS, ..play("no sizes told", 30, 0x3939e56149b18339) },
-        Play { fleet: small_fleet(), odd_percent: 10, ..play("one cache", 31, 0xc0a3f8408a0baff3) },
+        Play { fleet: small_fleet(), odd_percent: 10, ..play("one cache", 31, 0xcf80a316f6e23b4e) },
         Play {
             mix: all,
             odd_percent: 10,
             lost_percent: 3,
             steps: 4_000,
-            ..play("all together", 32, 0x88631b63c5fe9ed1)
+            ..play("all together", 32, 0x00a2578e0599490a)
         },
         Play {
             settings: alone,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -67,6 +67,86 @@
     assert!(is_failed(&next) && !sends_attempt(&next) && !is_rejected(&next), "past the window: {next:?}");
 }
 
+/// Drains all endpoints whose id begins with `prefix`.
+fn drain(r: &mut larchdale::Router, now: Micros, prefix: &str) {
+    let mut drained: Vec<_> = fleet().into_iter().filter(|m| m.id.starts_with(prefix)).collect();
+    drained.iter_mut().for_each(|m| m.state = EndpointState::Draining);
+    handle_event(r, now, Event::Endpoints { complete: false, endpoints: drained });
+}
+
+/// The fleet with another parent, `parent-3`, in the zone of the router.
+fn fleet_with_parent_in_zone() -> Vec<Endpoint> {
+    fleet().into_iter().chain([endpoint("parent-3", Role::Parent, 3, 30.0)]).collect()
+}
+
+/// Guards against a repeat of a keyed request straight at a parent or the origin outside its deduplication scope,
+/// once its zone has no cache that takes requests.
+#[test]
+fn a_keyed_request_that_may_have_run_goes_past_the_caches_only_within_its_scope() {
+    let scopes = [DeduplicationScope::All, DeduplicationScope::Zone, DeduplicationScope::Cell];
+    for (scope, members, target) in [
+        (scopes[0], fleet(), Some("parent-")),
+        (scopes[1], fleet(), None),
+        (scopes[2], fleet(), None),
+        (scopes[1], fleet_with_parent_in_zone(), Some("parent-3")),
+        (scopes[2], fleet_with_parent_in_zone(), Some("parent-3")),
+    ] {
+        for object in 0..20 {
+            let mut set = settings();
+            set.classes[KEYED].deduplication_scope = scope;
+            let mut r = router_with(set, members.clone());
+            assert!(sent_attempt(&send_request(&mut r, T0 + S, "a", KEYED, object))
+                .target
+                .starts_with("cache-3"));
+            drain(&mut r, T0 + S, "cache-3");
+            let next = end_attempt(&mut r, T0 + S + MS, "a", 0, AttemptStatus::Reset);
+            match target {
+                Some(prefix) => {
+                    let repeat = sent_attempt(&next);
+                    assert!(repeat.target.starts_with(prefix), "{scope:?}: {repeat:?}");
+                }
+                None => assert!(is_failed(&next) && !sends_attempt(&next), "{scope:?}: {next:?}"),
+            }
+        }
+    }
+}
+
+/// Guards against a repeat of a keyed request straight at a parent after its deduplication window.
+#[test]
+fn a_keyed_request_that_may_have_run_goes_past_the_caches_only_within_its_window() {
+    for (after, is_sent) in [(2 * S - MS, true), (2 * S, false)] {
+        let mut set = settings();
+        set.classes[KEYED].deduplication_scope = DeduplicationScope::All;
+        let mut r = router_with(set, fleet());
+        send_request(&mut r, T0 + S, "a", KEYED, 5);
+        drain(&mut r, T0 + S, "cache-3");
+        let next = end_attempt(&mut r, T0 + S + after, "a", 0, AttemptStatus::Reset);
+        assert_eq!((sends_attempt(&next), is_failed(&next)), (is_sent, !is_sent), "{after}: {next:?}");
+    }
+}
+
+/// Guards against a repeat of a keyed request whose fill is asked from a parent that neither discards repeats for the
+/// first target nor for the first source.
+#[test]
+fn a_keyed_request_that_may_have_run_is_filled_only_from_where_repeats_are_discarded() {
+    for object in 0..20 {
+        let mut r = router();
+        let first = sent_attempt(&send_request(&mut r, T0 + S, "a", KEYED, object));
+        assert!(first.source.starts_with("parent-"), "{first:?}");
+        let repeat = sent_attempt(&end_attempt(&mut r, T0 + S + MS, "a", 0, AttemptStatus::Reset));
+        assert_eq!(repeat.source, first.source, "the source in its own zone may fill the repeat");
+        drain(&mut r, T0 + S + MS, &first.source);
+        let next = end_attempt(&mut r, T0 + S + 2 * MS, "a", 1, AttemptStatus::Reset);
+        let repeat = sent_attempt(&next);
+        assert!(repeat.target.starts_with("cache-3"), "{repeat:?}");
+        let zone_of_first = if first.source == "parent-0" { "origin" } else { "" };
+        assert!(
+            [repeat.target.as_str(), zone_of_first].contains(&repeat.source.as_str()),
+            "filled from another zone: {first:?} {repeat:?}"
+        );
+    }
+}
+
 /// Guards against a limit on idempotent requests, which may run anywhere and at any time.
 #[test]
 fn an_idempotent_request_that_may_have_run_is_sent_again_outside_scope_and_window() {
@@ -77,6 +157,9 @@
     send_request(&mut r, T0 + S, "a", VIDEO, 5);
     let next = end_attempt(&mut r, T0 + S + 2 * MS, "a", 0, AttemptStatus::Reset);
     assert!(sent_attempt(&next).target.starts_with("cache-3"), "{next:?}");
+    drain(&mut r, T0 + S, "cache-3");
+    let next = end_attempt(&mut r, T0 + S + 3 * MS, "a", 1, AttemptStatus::Reset);
+    assert!(sent_attempt(&next).target.starts_with("parent-"), "{next:?}");
 }
 
 /// A refusal says that trying again does no harm, and when: that must be within the window of what may have run.
