--- a/src/routing/attempts.rs
+++ b/src/routing/attempts.rs
@@ -117,6 +117,7 @@
             source: route.source,
             origin: self.endpoints.origin().filter(|_| source_needs_origin && route.source.is_some()),
             sent_at: self.now,
+            execution: self.execution_of(route.target, route.source),
             late_after: self.late_after(pending.request.class, pending.transfer_time_us),
             cached_only,
             capacity_released: false,
--- a/src/routing/outcomes.rs
+++ b/src/routing/outcomes.rs
@@ -215,7 +215,7 @@
         actions: &mut Vec<Action>,
     ) {
         if may_have_run(outcome.status) {
-            pending.first_execution.get_or_insert_with(|| self.execution_of(attempt));
+            pending.first_execution.get_or_insert(attempt.execution);
             if !self.repeat_policy(&pending).is_some_and(|policy| policy.allows_repeats()) {
                 return self.finish_without_response(pending, actions);
             }
--- a/src/routing/request.rs
+++ b/src/routing/request.rs
@@ -16,6 +16,8 @@
     /// The origin, if the source is expected to fill its own miss from it.
     pub(super) origin: Option<EndpointIndex>,
     pub(super) sent_at: Micros,
+    /// The places of target and source when the attempt was sent; the endpoint list may move them later.
+    pub(super) execution: FirstExecution,
     /// Time after which the response counts as late, in microseconds.
     pub(super) late_after: Micros,
     /// Whether the source is asked only for a cached copy.
--- a/src/routing/retry.rs
+++ b/src/routing/retry.rs
@@ -3,7 +3,7 @@
 use super::deduplication::{FirstExecution, Location, RepeatPolicy};
 use super::endpoint_table::EndpointIndex;
 use super::events::{Action, AttemptStatus, Idempotency, Micros};
-use super::request::{Attempt, PendingRequest};
+use super::request::PendingRequest;
 use super::Router;
 
 /// Retry tokens added per request: during a lasting failure retries add at most a fifth to the attempts.
@@ -68,12 +68,16 @@
         self.settings.classes.get(pending.request.class).map(RepeatPolicy::from)
     }
 
-    /// Returns the record of an attempt that may have run.
-    pub(super) fn execution_of(&self, attempt: &Attempt) -> FirstExecution {
+    /// Returns the record of an attempt that is sent now.
+    pub(super) fn execution_of(
+        &self,
+        target: EndpointIndex,
+        source: Option<EndpointIndex>,
+    ) -> FirstExecution {
         FirstExecution {
-            sent_at: attempt.sent_at,
-            target: self.location(attempt.target),
-            source: attempt.source_beside_target().map(|source| self.location(source)),
+            sent_at: self.now,
+            target: self.location(target),
+            source: source.map(|source| self.location(source)),
         }
     }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -147,6 +147,21 @@
     }
 }
 
+/// Guards against a scope that follows an endpoint which the list moves to another zone after the attempt was sent: the
+/// request ran in the zone that the endpoint had then.
+#[test]
+fn a_keyed_request_stays_in_the_zone_that_its_first_target_had_when_it_was_sent() {
+    let mut r = router();
+    let first = sent_attempt(&send_request(&mut r, T0 + S, "a", KEYED, 5));
+    let moved = Endpoint { zone: 1, ..endpoint(&first.target, Role::Cache, 3, 8.0) };
+    handle_event(&mut r, T0 + S, Event::Endpoints { complete: false, endpoints: vec![moved] });
+    let repeat = sent_attempt(&end_attempt(&mut r, T0 + S + MS, "a", 0, AttemptStatus::Reset));
+    assert!(repeat.target.starts_with("cache-3") && repeat.target != first.target, "{repeat:?}");
+    drain(&mut r, T0 + S + MS, "cache-3");
+    let next = end_attempt(&mut r, T0 + S + 2 * MS, "a", 1, AttemptStatus::Reset);
+    assert!(is_failed(&next) && !sends_attempt(&next), "{next:?}");
+}
+
 /// Guards against a limit on idempotent requests, which may run anywhere and at any time.
 #[test]
 fn an_idempotent_request_that_may_have_run_is_sent_again_outside_scope_and_window() {
