A request keeps the effect, scope and window of its class from its arrival in the router

Cause: the router looked the class up again at each decision about a repeat, so settings that change a class under its number loosened the rule for a request that may have run. Change: a pending request holds the RepeatPolicy of its class from when it arrives.

--- a/src/routing/attempts.rs
+++ b/src/routing/attempts.rs
@@ -1,5 +1,6 @@
 //! Routes and sends the attempts of a request.
 
+use super::deduplication::RepeatPolicy;
 use super::endpoint_table::EndpointIndex;
 use super::events::{Action, Class, Fetch, Id, Request, Role};
 use super::latency::TOLERATED_LATE_RATE;
@@ -54,6 +55,7 @@
         let pending = PendingRequest {
             deadline: self.now.saturating_add(request.timeout),
             transfer_time_us,
+            repeat_policy: self.settings.classes.get(request.class).map(RepeatPolicy::from),
             request,
             max_attempts: self.settings.max_attempts,
             ..PendingRequest::default()
--- a/src/routing/outcomes.rs
+++ b/src/routing/outcomes.rs
@@ -216,7 +216,7 @@
     ) {
         if may_have_run(outcome.status) {
             pending.first_execution.get_or_insert(attempt.execution);
-            if !self.repeat_policy(&pending).is_some_and(|policy| policy.allows_repeats()) {
+            if !pending.repeat_policy.is_some_and(|policy| policy.allows_repeats()) {
                 return self.finish_without_response(pending, actions);
             }
         }
--- a/src/routing/request.rs
+++ b/src/routing/request.rs
@@ -1,6 +1,6 @@
 //! Client requests without a final answer, and their attempts.
 
-use super::deduplication::FirstExecution;
+use super::deduplication::{FirstExecution, Location, RepeatPolicy};
 use super::endpoint_table::EndpointIndex;
 use super::events::{Micros, Request};
 
@@ -83,6 +83,8 @@
     pub(super) failed_targets: Vec<EndpointIndex>,
     /// Sources that made attempts fail.
     pub(super) failed_sources: Vec<EndpointIndex>,
+    /// What the class of the request allowed when the request arrived; `None` for an unknown class.
+    pub(super) repeat_policy: Option<RepeatPolicy>,
     pub(super) first_execution: Option<FirstExecution>,
     /// Number of consecutive attempts that ended with an error.
     pub(super) consecutive_errors: u32,
@@ -95,6 +97,24 @@
 }
 
 impl PendingRequest {
+    /// Returns whether the request may be sent to an endpoint; true if it cannot have run before.
+    pub(super) fn may_be_sent_to(&self, now: Micros, target: Location) -> bool {
+        let Some(first) = self.first_execution else { return true };
+        self.repeat_policy.is_some_and(|policy| policy.allows_target(now, &first, target))
+    }
+
+    /// Returns whether a miss of the request may be filled from an endpoint; true if it cannot have run before.
+    pub(super) fn may_be_filled_from(&self, now: Micros, source: Location) -> bool {
+        let Some(first) = self.first_execution else { return true };
+        self.repeat_policy.is_some_and(|policy| policy.allows_source(now, &first, source))
+    }
+
+    /// Returns whether the client may repeat the request at time `at`; true if it cannot have run before.
+    pub(super) fn may_be_retried_by_client(&self, at: Micros) -> bool {
+        let Some(first) = self.first_execution else { return true };
+        self.repeat_policy.is_some_and(|policy| policy.allows_client_retry(at, &first))
+    }
+
     /// Returns the endpoints whose slots in the table must not be reused while the request is pending. The
     /// participants of the attempt in flight are included, because its capacity may have been released early.
     pub(super) fn referenced_endpoints(&self) -> impl Iterator<Item = EndpointIndex> + '_ {
--- a/src/routing/retry.rs
+++ b/src/routing/retry.rs
@@ -1,6 +1,6 @@
 //! Retries, and the final answer to requests that are not retried.
 
-use super::deduplication::{FirstExecution, Location, RepeatPolicy};
+use super::deduplication::{FirstExecution, Location};
 use super::endpoint_table::EndpointIndex;
 use super::events::{Action, AttemptStatus, Idempotency, Micros};
 use super::request::PendingRequest;
@@ -63,11 +63,6 @@
         in_time && attempts_left && affordable
     }
 
-    /// Returns what the class of a request allows once the request may have run.
-    pub(super) fn repeat_policy(&self, pending: &PendingRequest) -> Option<RepeatPolicy> {
-        self.settings.classes.get(pending.request.class).map(RepeatPolicy::from)
-    }
-
     /// Returns the record of an attempt that is sent now.
     pub(super) fn execution_of(
         &self,
@@ -83,17 +78,13 @@
 
     /// Returns whether a request may be sent to an endpoint; true if the request cannot have run before.
     pub(super) fn may_be_target(&self, pending: &PendingRequest, index: EndpointIndex) -> bool {
-        let Some(first) = pending.first_execution else { return true };
-        let policy = self.repeat_policy(pending);
-        policy.is_some_and(|policy| policy.allows_target(self.now, &first, self.location(index)))
+        pending.may_be_sent_to(self.now, self.location(index))
     }
 
     /// Returns whether a miss of a request may be filled from an endpoint; true if the request cannot have run
     /// before.
     pub(super) fn may_be_source(&self, pending: &PendingRequest, index: EndpointIndex) -> bool {
-        let Some(first) = pending.first_execution else { return true };
-        let policy = self.repeat_policy(pending);
-        policy.is_some_and(|policy| policy.allows_source(self.now, &first, self.location(index)))
+        pending.may_be_filled_from(self.now, self.location(index))
     }
 
     fn location(&self, index: EndpointIndex) -> Location {
@@ -107,7 +98,7 @@
     /// Gives the final answer to a request that is not attempted again.
     pub(super) fn finish_without_response(&mut self, pending: PendingRequest, actions: &mut Vec<Action>) {
         let retry_after = self.draw_retry_after();
-        let is_safe_to_repeat = self.is_safe_to_repeat(&pending, retry_after);
+        let is_safe_to_repeat = pending.may_be_retried_by_client(self.now + retry_after);
         let request = pending.request.id;
         actions.push(if is_safe_to_repeat && self.now < pending.deadline {
             Action::Reject { request, retry_after }
@@ -126,11 +117,4 @@
             0
         }
     }
-
-    /// Returns whether the client may safely repeat the request after `retry_after`.
-    fn is_safe_to_repeat(&self, pending: &PendingRequest, retry_after: Micros) -> bool {
-        let Some(first) = pending.first_execution else { return true };
-        let policy = self.repeat_policy(pending);
-        policy.is_some_and(|policy| policy.allows_client_retry(self.now + retry_after, &first))
-    }
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -162,6 +162,34 @@
     assert!(is_failed(&next) && !sends_attempt(&next), "{next:?}");
 }
 
+/// Guards against settings that change the effect, scope or window of a class under a request that may have run.
+#[test]
+fn a_request_that_may_have_run_keeps_effect_scope_and_window_of_its_arrival_under_new_settings() {
+    let narrow = |class: &mut Class| {
+        class.idempotency = Idempotency::WithKey;
+        class.deduplication_scope = DeduplicationScope::Zone;
+        class.deduplication_window = S;
+    };
+    let loosened: [(&str, fn(&mut Class), Micros); 3] = [
+        ("effect", |class| class.idempotency = Idempotency::Idempotent, MS),
+        ("scope", |class| class.deduplication_scope = DeduplicationScope::All, MS),
+        ("window", |class| class.deduplication_window = 3 * S, S + MS),
+    ];
+    for (what, loosen, after) in loosened {
+        let mut set = settings();
+        narrow(&mut set.classes[KEYED]);
+        let mut r = router_with(set.clone(), fleet());
+        send_request(&mut r, T0 + S, "a", KEYED, 5);
+        loosen(&mut set.classes[KEYED]);
+        handle_event(&mut r, T0 + S, Event::Settings(Box::new(set)));
+        if what != "window" {
+            drain(&mut r, T0 + S, "cache-3");
+        }
+        let next = end_attempt(&mut r, T0 + S + after, "a", 0, AttemptStatus::Reset);
+        assert!(is_failed(&next) && !sends_attempt(&next), "{what}: {next:?}");
+    }
+}
+
 /// Guards against a limit on idempotent requests, which may run anywhere and at any time.
 #[test]
 fn an_idempotent_request_that_may_have_run_is_sent_again_outside_scope_and_window() {
