The deduplication scope is asked again when an attempt is written

Cause: Proxy::is_still_valid knew the deduplication window of a request that may have run, not its scope, so an attempt that waited for a dial was written to a target, or with a source, that the list had moved to another zone meanwhile. Change: the proxy keeps the first attempt that may have run with the places of its endpoints, and asks the same RepeatPolicy as the router whenever such a request is about to be written, delayed or not; the window's own field is gone. Result: a_keyed_request_that_may_have_run_is_not_written_to_an_endpoint_that_left_its_deduplication_scope failed before and passes, the test of the window passes unchanged; 119 proxy tests passed.

--- a/src/proxy/attempts.rs
+++ b/src/proxy/attempts.rs
@@ -10,6 +10,7 @@
 use crate::invariant;
 use crate::net::pool::Choice;
 use crate::net::protocol::{frames, resp};
+use crate::routing::deduplication::{FirstExecution, Location};
 use crate::routing::events::{AttemptStatus, Event, Fetch, Id, Micros, Outcome};
 use mio::Token;
 use slog::debug;
@@ -91,8 +92,8 @@
         is_cancelled
     }
 
-    /// Returns whether an attempt that had to wait may still be written. Drains, purges and the deduplication
-    /// window apply at the time of writing, and each may have changed since the attempt was decided.
+    /// Returns whether an attempt may still be written. Drains, purges and the deduplication scope and window
+    /// apply at the time of writing, and each may have changed since the attempt was decided.
     fn is_still_valid(&self, id: &Id) -> bool {
         let Some((active, attempt)) =
             self.requests.get(id).and_then(|active| Some((active, active.attempt.as_ref()?)))
@@ -106,7 +107,23 @@
                 .purge_log()
                 .and_then(|log| log.bound_tightened_at())
                 .is_some_and(|at| at >= attempt.started_at);
-        serves(&attempt.endpoint) && can_fetch && !is_purged && self.now < active.retry_deadline
+        let is_in_scope = || {
+            self.execution_of(attempt).is_some_and(|execution| active.may_be_written(self.now, &execution))
+        };
+        serves(&attempt.endpoint) && can_fetch && !is_purged && is_in_scope()
+    }
+
+    /// Returns the places of the endpoints of an attempt, or `None` if one of them is not listed.
+    fn execution_of(&self, attempt: &Attempt) -> Option<FirstExecution> {
+        let location = |id: &Id| {
+            let entry = self.discovery.endpoint_list.entry(id)?;
+            Some(Location { zone: entry.zone, cell: entry.cell })
+        };
+        let source = match &attempt.fetch {
+            Some(fetch) if fetch.source != attempt.endpoint => Some(location(&fetch.source)?),
+            _ => None,
+        };
+        Some(FirstExecution { sent_at: attempt.started_at, target: location(&attempt.endpoint)?, source })
     }
 
     /// Writes the current attempt of a request to its connection, which is open.
@@ -119,11 +136,14 @@
         let (token, number) = (attempt.connection, attempt.number);
         // The endpoint list may hold changes that the router has not been told of yet.
         let may_have_changed = self.now > attempt.started_at || self.discovery.endpoint_list.has_changes();
+        let may_have_run = self.requests.get(id).is_some_and(|active| active.first_execution.is_some());
         // The request may have finished while the attempt waited; no attempt is sent for a finished request.
-        if self.requests.is_finished(id) || may_have_changed && !self.is_still_valid(id) {
+        let needs_check = may_have_changed || may_have_run;
+        if self.requests.is_finished(id) || needs_check && !self.is_still_valid(id) {
             self.metrics.dropped_attempts += 1;
             return self.finish_attempt(id, AttemptStatus::NeverSent.into());
         }
+        let execution = self.requests.attempt(id).and_then(|attempt| self.execution_of(attempt));
         let Some(bytes) = self.encode_attempt(id) else { return };
         let Some(upstream) = self.pool.get_mut(token) else {
             // When several attempts waited for one dial, writing the first may have closed the connection.
@@ -141,6 +161,7 @@
         let is_open = upstream.conn.is_open();
         if let Some(attempt) = self.requests.attempt_mut(id) {
             attempt.end_offset = Some(end_offset);
+            attempt.execution = execution;
             self.admin_metrics.dispatches += u64::from(attempt.record_written(written));
         }
         if !is_open {
@@ -231,12 +252,8 @@
     pub(super) fn finish_attempt(&mut self, id: &Id, result: AttemptResult) {
         let Some(active) = self.requests.get_mut(id) else { return };
         let Some(attempt) = active.attempt.take() else { return };
-        let may_have_run = matches!(
-            result.status,
-            AttemptStatus::Error | AttemptStatus::TimedOut | AttemptStatus::Reset | AttemptStatus::Cancelled
-        );
-        if let Some(window) = active.deduplication_window.filter(|_| may_have_run) {
-            active.retry_deadline = active.retry_deadline.min(attempt.started_at.saturating_add(window));
+        if result.status.may_have_run() {
+            active.first_execution = active.first_execution.or(attempt.execution);
         }
         let source = attempt.fetch.as_ref().map(|fetch| &fetch.source);
         debug!(self.log, "attempt ended"; "request" => %id, "attempt" => attempt.number,
--- a/src/proxy/requests.rs
+++ b/src/proxy/requests.rs
@@ -12,6 +12,7 @@
 use crate::config::settings::ClassLookup;
 use crate::invariant;
 use crate::net::protocol::{frames, ClientRequest, Response};
+use crate::routing::deduplication::{FirstExecution, RepeatPolicy};
 use crate::routing::events::{
     AttemptStatus, CacheStatus, Class, Event, Fetch, Id, Idempotency, LoadReport, Micros, Outcome, Request,
 };
@@ -44,12 +45,10 @@
     pub(super) class: usize,
     /// Index of the class in the counters of the admin endpoint.
     pub(super) metrics_class: usize,
-    /// Time in which endpoints recognise a repeated request, from the start of an attempt that may have been
-    /// executed.
-    pub(super) deduplication_window: Option<Micros>,
-    /// Time from which no attempt is written any more, because endpoints would no longer recognise it as a
-    /// repeat.
-    pub(super) retry_deadline: Micros,
+    /// What the request's class allowed at admission once the request may have run.
+    pub(super) repeat_policy: RepeatPolicy,
+    /// The first attempt that may have run.
+    pub(super) first_execution: Option<FirstExecution>,
     /// Upstream connections that an earlier attempt used. A late response on one of them would be taken for
     /// the response to a newer attempt on the same connection, because responses name the request but not the
     /// attempt.
@@ -76,11 +75,20 @@
             attempt: None,
             class: admission.class,
             metrics_class: admission.metrics_class,
-            deduplication_window: admission.deduplication_window,
-            retry_deadline: Micros::MAX,
+            repeat_policy: admission.repeat_policy,
+            first_execution: None,
             used_connections: Vec::new(),
         }
     }
+
+    /// Returns whether an attempt with these places may be written: endpoints outside the deduplication scope,
+    /// or after its window, would run a request that may have run a second time.
+    pub(super) fn may_be_written(&self, now: Micros, attempt: &FirstExecution) -> bool {
+        let Some(first) = &self.first_execution else { return true };
+        let allows_source = |source| self.repeat_policy.allows_source(now, first, source);
+        self.repeat_policy.allows_target(now, first, attempt.target)
+            && attempt.source.is_none_or(allows_source)
+    }
 }
 
 /// The current attempt of a request.
@@ -95,6 +103,8 @@
     /// Offset of the end of the attempt's command in all bytes queued on the connection; `None` while the
     /// attempt waits for a dial.
     pub(super) end_offset: Option<u64>,
+    /// Places of the endpoints when the attempt was written; `None` while it is not.
+    pub(super) execution: Option<FirstExecution>,
     is_written: bool,
 }
 
@@ -115,6 +125,7 @@
             deadline,
             connection,
             end_offset: None,
+            execution: None,
             is_written: false,
         }
     }
@@ -229,7 +240,7 @@
 struct Admission {
     class: usize,
     metrics_class: usize,
-    deduplication_window: Option<Micros>,
+    repeat_policy: RepeatPolicy,
 }
 
 /// Returns the router's event for a request; `timeout` is the time that the router has for it.
@@ -266,7 +277,7 @@
             self.write_unadmitted(client, stream, &Response::Rejected { retry_after_ms: 0 });
             return self.admin_metrics.request_ended(metrics_class, EndStatus::Overload);
         };
-        let deduplication_window = needs_key(settings).then_some(settings.deduplication_window);
+        let repeat_policy = RepeatPolicy::from(settings);
         let id: Id = request.request_id.as_str().into();
         if self.requests.contains(&id) {
             // Attempts and responses are matched by the request id, which belongs to the first request. This
@@ -277,7 +288,7 @@
         self.metrics.requests += 1;
         debug!(self.log, "request"; "request" => %id, "class" => class, "timeout_ms" => request.timeout_ms,
                "size_kb" => request.size_kb, "object" => %request.object.0, "chunk" => request.chunk);
-        let admission = Admission { class, metrics_class, deduplication_window };
+        let admission = Admission { class, metrics_class, repeat_policy };
         self.begin_request(id, client, stream, request, admission);
     }
 
--- a/src/proxy/tests/races.rs
+++ b/src/proxy/tests/races.rs
@@ -45,6 +45,15 @@
         assert!(!peer.reset, "the connection was reset");
     }
 
+    /// Moves an endpoint of the list to another zone and announces the change to the router.
+    fn move_to_zone(&mut self, id: &str, zone: usize) {
+        let proxy = &mut self.proxy;
+        let entry = proxy.discovery.endpoint_list.entry(id).unwrap().clone();
+        proxy.discovery.endpoint_list.upsert(proxy.now, Entry { zone, ..entry }).unwrap();
+        proxy.announce_endpoints(usize::MAX);
+        proxy.process_events();
+    }
+
     fn attempts(&self) -> u64 {
         self.proxy.metrics.attempts
     }
@@ -468,8 +477,8 @@
     assert_eq!(harness.read_frame(&mut client), (8, 2, b"\x14\x00y".to_vec()));
 }
 
-/// Fails without `retry_deadline` in `is_still_valid`: the dial outlasted the deduplication window, and the edit
-/// was written again.
+/// Fails if `is_still_valid` does not ask for the deduplication window: the dial outlasted it, and the edit was written
+/// again.
 #[test]
 fn an_edit_that_may_have_run_is_not_written_again_after_its_deduplication_window() {
     let mut harness = Harness::with(|c| c["settings"]["classes"][2]["window-us"] = 100_000.into());
@@ -490,6 +499,38 @@
     assert_eq!(harness.proxy.metrics.dropped_attempts, 1);
 }
 
+/// Fails if `is_still_valid` does not ask for the deduplication scope: while the second attempt waited for its dial, the
+/// list moved its target, or the source of its fill, to a zone that does not discard repeats of the first attempt.
+#[test]
+fn a_keyed_request_that_may_have_run_is_not_written_to_an_endpoint_that_left_its_deduplication_scope() {
+    let key = [("nonce", "5c0f6e1a2b3d4c59")];
+    type Listener = fn(&Harness) -> &StdListener;
+    let cases: [(&str, &str, Listener); 2] =
+        [("edit", ORIGIN, |harness| &harness.origin), ("clip", ORIGIN, |harness| &harness.cache)];
+    for (route, moved, listener) in cases {
+        let mut harness = Harness::with(|c| {
+            let settings = &mut c["settings"];
+            settings["failure-domains"] = serde_json::json!(["east", "west"]);
+            settings["domain"]["crew-by-zone"] = serde_json::json!([1, 0]);
+            for class in settings["classes"].as_array_mut().unwrap() {
+                class["semantics"] = "deduplicated".into();
+                class["dedup-scope"] = "zone".into();
+            }
+        });
+        let mut client = harness.connect_client();
+        client.write(&request_with(1, 1, route, &key));
+        let mut first = harness.accept(listener);
+        assert_eq!(harness.read_command(&mut first)[1], request_id(1));
+        first.write(&response(&request_id(1), "error", "-", ""));
+        harness.wait_until("the next dial", |proxy| (proxy.pool.len() == 2).then_some(()));
+        harness.move_to_zone(moved, 1);
+        let mut again = harness.accept(listener);
+        assert_eq!(harness.read_frame(&mut client), (8, 1, vec![51, 0]), "{route}");
+        harness.expect_silence(&mut again);
+        assert_eq!(harness.proxy.metrics.dropped_attempts, 1, "{route}");
+    }
+}
+
 // ---- eviction ----
 
 /// A complete request that is unread when its connection is chosen for eviction is accepted, for each of the
--- a/src/routing/events.rs
+++ b/src/routing/events.rs
@@ -198,6 +198,16 @@
     Miss,
 }
 
+impl AttemptStatus {
+    /// Whether the request may have run at the endpoint.
+    pub fn may_have_run(self) -> bool {
+        matches!(
+            self,
+            AttemptStatus::Error | AttemptStatus::TimedOut | AttemptStatus::Reset | AttemptStatus::Cancelled
+        )
+    }
+}
+
 /// Origin of the copy, or reason for a failed fill, as reported in an outcome.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CacheStatus {
--- a/src/routing/outcomes.rs
+++ b/src/routing/outcomes.rs
@@ -214,7 +214,7 @@
         outcome: &Outcome,
         actions: &mut Vec<Action>,
     ) {
-        if may_have_run(outcome.status) {
+        if outcome.status.may_have_run() {
             pending.first_execution.get_or_insert(attempt.execution);
             if !pending.repeat_policy.is_some_and(|policy| policy.allows_repeats()) {
                 return self.finish_without_response(pending, actions);
@@ -304,11 +304,3 @@
         }
     }
 }
-
-/// Returns whether an attempt that ended with this status may have run.
-fn may_have_run(status: AttemptStatus) -> bool {
-    matches!(
-        status,
-        AttemptStatus::Error | AttemptStatus::TimedOut | AttemptStatus::Reset | AttemptStatus::Cancelled
-    )
-}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -170,7 +170,8 @@
         class.deduplication_scope = DeduplicationScope::Zone;
         class.deduplication_window = S;
     };
-    let loosened: [(&str, fn(&mut Class), Micros); 3] = [
+    type Loosen = fn(&mut Class);
+    let loosened: [(&str, Loosen, Micros); 3] = [
         ("effect", |class| class.idempotency = Idempotency::Idempotent, MS),
         ("scope", |class| class.deduplication_scope = DeduplicationScope::All, MS),
         ("window", |class| class.deduplication_window = 3 * S, S + MS),
