No request is written to a connection to a former address of its endpoint

Cause: connections were keyed by the endpoint alone. A change of address that the owner of the list had not taken yet, or an endpoint that was removed and listed again at another address, left its old connections in use, though another endpoint, in another zone perhaps, may own that address by now. Change: a connection knows the address that it was dialed to; the pool selects only those at the endpoint's address, and the address is compared with the list once more when an attempt that waited, or follows one that may have run, is written.

--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -32,6 +32,8 @@
     pub conn: Connection<T>,
     /// Id of the endpoint.
     pub endpoint: Id,
+    /// Address that was dialed.
+    pub address: SocketAddr,
     /// Time at which the dial was started.
     pub dialed_at: Micros,
     /// Numbers of the attempts in flight on the connection, by request.
@@ -48,10 +50,11 @@
 
 impl<T: Transport> UpstreamConnection<T> {
     /// Creates a connection that is dialed now.
-    pub fn new(conn: Connection<T>, endpoint: Id, now: Micros) -> Self {
+    pub fn new(conn: Connection<T>, endpoint: Id, address: SocketAddr, now: Micros) -> Self {
         UpstreamConnection {
             conn,
             endpoint,
+            address,
             dialed_at: now,
             in_flight: FxHashMap::default(),
             waiting: Vec::new(),
@@ -223,6 +226,11 @@
         Some(upstream)
     }
 
+    /// Returns a connection for reading its state.
+    pub fn get(&self, token: Token) -> Option<&UpstreamConnection<T>> {
+        self.connections.get(&token)
+    }
+
     /// Returns a connection.
     pub fn get_mut(&mut self, token: Token) -> Option<&mut UpstreamConnection<T>> {
         self.connections.get_mut(&token)
@@ -252,9 +260,10 @@
     /// of the same request was abandoned: its late response could be mistaken for the response to this attempt.
     pub fn choose(&self, endpoint: &str, now: Micros, excluded: &[Token]) -> Choice {
         let Some(&address) = self.addresses.get(endpoint) else { return Choice::Full };
+        // What listens at a former address may be another endpoint.
+        let current = || self.of_endpoint(endpoint).filter(|(_, upstream)| upstream.address == address);
         let usable = || {
-            let with_capacity =
-                self.of_endpoint(endpoint).filter(|(_, upstream)| self.is_usable(upstream, now));
+            let with_capacity = current().filter(|(_, upstream)| self.is_usable(upstream, now));
             with_capacity.filter(|(token, _)| !excluded.contains(token))
         };
         // Among equally loaded connections the most recently used one is the least likely to have gone stale.
@@ -268,7 +277,7 @@
         let can_wait_for = |upstream: &UpstreamConnection<T>| {
             upstream.conn.state() == State::Dialing && upstream.waiting.len() < self.multiplex
         };
-        if let Some((token, _)) = self.of_endpoint(endpoint).find(|(_, upstream)| can_wait_for(upstream)) {
+        if let Some((token, _)) = current().find(|(_, upstream)| can_wait_for(upstream)) {
             return Choice::Wait(token);
         }
         if self.tokens(endpoint).len() < self.max_per_endpoint && !self.is_full() {
--- a/src/net/pool/tests.rs
+++ b/src/net/pool/tests.rs
@@ -103,7 +103,7 @@
                         assert!(pool.tokens(&endpoint).len() < MAX_PER_ENDPOINT && !pool.is_full());
                         let conn = Connection::dialing(ScriptedTransport::default(), now);
                         next += 1;
-                        pool.add(Token(next), UpstreamConnection::new(conn, endpoint, now));
+                        pool.add(Token(next), UpstreamConnection::new(conn, endpoint, address(), now));
                     }
                     Choice::Full => {
                         let usable =
@@ -203,6 +203,7 @@
         let mut upstream = UpstreamConnection::new(
             Connection::accepted(ScriptedTransport::default(), SECOND),
             name(0),
+            address(),
             SECOND,
         );
         upstream.note_sent("a".into(), 0, SECOND + idle);
--- a/src/proxy/attempts.rs
+++ b/src/proxy/attempts.rs
@@ -110,7 +110,20 @@
         let is_in_scope = || {
             self.execution_of(attempt).is_some_and(|execution| active.may_be_written(self.now, &execution))
         };
-        serves(&attempt.endpoint) && can_fetch && !is_purged && is_in_scope()
+        serves(&attempt.endpoint)
+            && self.is_at_current_address(attempt)
+            && can_fetch
+            && !is_purged
+            && is_in_scope()
+    }
+
+    /// Returns whether the connection of an attempt leads to the address that its endpoint has now. Another
+    /// endpoint may own a former address.
+    fn is_at_current_address(&self, attempt: &Attempt) -> bool {
+        let entry = self.discovery.endpoint_list.entry(&attempt.endpoint);
+        let upstream = self.pool.get(attempt.connection);
+        // Without a connection the attempt ends as one that could not connect.
+        upstream.is_none_or(|upstream| entry.is_some_and(|entry| entry.address == upstream.address))
     }
 
     /// Returns the places of the endpoints of an attempt, or `None` if one of them is not listed.
--- a/src/proxy/tests/races.rs
+++ b/src/proxy/tests/races.rs
@@ -531,6 +531,38 @@
     }
 }
 
+/// Fails if a connection is used after its endpoint has another address: what listens at the old one may be another
+/// endpoint by now. The change of address waits for the router, is known to it, or comes with the endpoint's return.
+#[test]
+fn a_request_is_not_written_to_a_connection_to_the_former_address_of_its_endpoint() {
+    type Change = fn(&mut Harness, Entry);
+    let unannounced: Change = |harness, entry| {
+        let proxy = &mut harness.proxy;
+        proxy.discovery.endpoint_list.upsert(proxy.now, entry).unwrap();
+    };
+    let announced: Change = |harness, entry| {
+        let address = entry.address;
+        harness.update_cache_entry(|listed| listed.address = address);
+    };
+    let returned: Change = |harness, entry| {
+        harness.update_cache_entry(|listed| listed.state = EndpointState::Removed);
+        let proxy = &mut harness.proxy;
+        proxy.discovery.endpoint_list.upsert(proxy.now, entry).unwrap();
+        proxy.announce_endpoints(usize::MAX);
+        proxy.process_events();
+    };
+    for change in [returned, announced, unannounced] {
+        let mut harness = Harness::new();
+        let (mut client, mut former, _) = harness.forward_request();
+        let new_owner = StdListener::bind("127.0.0.1:0").unwrap();
+        let entry = harness.proxy.discovery.endpoint_list.entry(CACHE).unwrap().clone();
+        change(&mut harness, Entry { address: new_owner.local_addr().unwrap(), ..entry });
+        client.write(&request(2, 2, "clip"));
+        harness.await_client_input();
+        harness.expect_silence(&mut former);
+    }
+}
+
 // ---- eviction ----
 
 /// A complete request that is unread when its connection is chosen for eviction is accepted, for each of the
--- a/src/proxy/upstreams.rs
+++ b/src/proxy/upstreams.rs
@@ -35,7 +35,7 @@
         match dial {
             Ok((token, stream)) => {
                 let conn = Connection::dialing(stream, self.now);
-                self.pool.add(token, UpstreamConnection::new(conn, endpoint.clone(), self.now));
+                self.pool.add(token, UpstreamConnection::new(conn, endpoint.clone(), address, self.now));
                 let timeout = self.settings.limits.dial_timeout_us;
                 self.timers.set(self.now + timeout, TimerEvent::DialDeadline(token));
                 Some(token)
