A request made before its client knows of a looser class is repeated only as the stricter one allows

Cause: a request that was read after a reload got the effect of the new class, though clients learn of a change up to 1.2 s later and 'open requests keep the old class'. Where the change loosens the class, a request made under the stricter rule was run twice. Change: the policy of a request is the strictest of its class and of the classes of that name that were dropped in the last 1.5 s; the proxy passes it to the router with the request. A class that asks for a key does not count for a request without one, whose client knows the new class.

--- a/crates/fleet-simulation/src/slopes/router.rs
+++ b/crates/fleet-simulation/src/slopes/router.rs
@@ -85,6 +85,7 @@
             purge_group: n % 97,
             timeout: 3 * S,
             size_kb: 180.0,
+            repeat_policy: None,
         };
         (id, request)
     }
--- a/crates/test-support/src/bin/measure-sites.rs
+++ b/crates/test-support/src/bin/measure-sites.rs
@@ -176,6 +176,7 @@
             purge_group: 0,
             timeout: 3 * S,
             size_kb: 60.0,
+            repeat_policy: None,
         };
         let note = if n % 4 == 0 { CacheStatus::Filled } else { CacheStatus::Hit };
         let ended = |attempt| Outcome {
--- a/src/bin/simulator_adapter.rs
+++ b/src/bin/simulator_adapter.rs
@@ -262,6 +262,7 @@
                 purge_group: label_no as u64,
                 timeout: budget_us,
                 size_kb,
+                repeat_policy: None,
             }),
         ),
         WireEvent::Completed {
--- a/src/config/settings/classes.rs
+++ b/src/config/settings/classes.rs
@@ -5,6 +5,7 @@
 
 use super::{ClassEntry, Document};
 use crate::invariant;
+use crate::routing::deduplication::RepeatPolicy;
 use crate::routing::events::{Class, Idempotency, Micros, Settings};
 
 /// Time for which a dropped class is still served, in microseconds. Clients learn of the change up to 1.2 s after it.
@@ -133,6 +134,17 @@
         }
     }
 
+    /// Returns what is allowed once a request of the class `number` may have run. Its client may not know yet of a
+    /// change of the class, so classes of that name that were dropped recently restrict it too, unless the request
+    /// lacks the key that their clients sent.
+    pub fn repeat_policy(&self, now: Micros, number: usize, has_key: bool) -> RepeatPolicy {
+        let current = &self.slots[number];
+        let recent = self.slots.iter().filter(|slot| slot.name == current.name && slot.is_served(now));
+        let policies = recent.map(|slot| RepeatPolicy::from(&slot.class));
+        let known_to_client = policies.filter(|policy| has_key || !policy.needs_key());
+        known_to_client.fold(RepeatPolicy::from(&current.class), RepeatPolicy::strictest)
+    }
+
     /// Counts a new request of a class.
     pub fn request_opened(&mut self, number: usize) {
         self.slots[number].open_requests += 1;
--- a/src/proxy/requests.rs
+++ b/src/proxy/requests.rs
@@ -244,15 +244,16 @@
 }
 
 /// Returns the router's event for a request; `timeout` is the time that the router has for it.
-fn request_event(id: &Id, request: &ClientRequest, class: usize, router_timeout: Micros) -> Event {
+fn request_event(id: &Id, request: &ClientRequest, admission: &Admission, router_timeout: Micros) -> Event {
     Event::Request(Request {
         id: id.clone(),
-        class,
+        class: admission.class,
         object: request.object.1,
         chunk: request.chunk,
         purge_group: request.purge_group,
         timeout: router_timeout,
         size_kb: request.size_kb,
+        repeat_policy: Some(admission.repeat_policy),
     })
 }
 
@@ -271,13 +272,13 @@
         let is_too_large = matches!(class_lookup, ClassLookup::Found { deadline, .. }
             if !can_transfer_in_time(request.size_kb, deadline, &self.settings));
         let admissible = class_lookup.class().filter(|found| !is_too_large && !lacks_key(found.1));
-        let Some((class, settings)) = admissible else {
+        let Some((class, _)) = admissible else {
             // The class was removed or requires a key by now, or no transfer of this size ends in time. A
             // retry would fail in the same way, and the size would distort the load estimates.
             self.write_unadmitted(client, stream, &Response::Rejected { retry_after_ms: 0 });
             return self.admin_metrics.request_ended(metrics_class, EndStatus::Overload);
         };
-        let repeat_policy = RepeatPolicy::from(settings);
+        let repeat_policy = self.classes.repeat_policy(self.now, class, request.idempotency_key.is_some());
         let id: Id = request.request_id.as_str().into();
         if self.requests.contains(&id) {
             // Attempts and responses are matched by the request id, which belongs to the first request. This
@@ -303,7 +304,7 @@
     ) {
         let client_timeout = request.timeout_ms.saturating_mul(MILLISECOND);
         let router_timeout = client_timeout - RESPONSE_MARGIN.min(client_timeout / 4);
-        let event = request_event(&id, &request, admission.class, router_timeout);
+        let event = request_event(&id, &request, &admission, router_timeout);
         let has_capacity = self.has_capacity_for(&request);
         self.classes.request_opened(admission.class);
         let (deadline, max_attempts) = (self.now + router_timeout, self.settings.limits.max_attempts);
--- a/src/proxy/tests/processes.rs
+++ b/src/proxy/tests/processes.rs
@@ -255,6 +255,24 @@
     assert!(harness.proxy.requests.by_id.is_empty() && harness.proxy.classes.open_requests() == 0);
 }
 
+/// Guards against a request that was made under a stricter class but is read after the reload that loosened the class:
+/// it was run twice. Clients learn of a change later than the instance.
+#[test]
+fn a_request_made_before_clients_know_of_a_looser_class_is_repeated_only_as_the_stricter_one_allows() {
+    let mut harness = Harness::with(|c| c["settings"]["classes"][0]["semantics"] = "at_most_once".into());
+    harness.reload_settings("looser", |s| s["classes"][0]["semantics"] = "idempotent".into());
+    let (mut client, cache, _) = harness.forward_request();
+    drop(cache);
+    assert_eq!(harness.read_frame(&mut client), (8, 1, vec![51, 0]));
+    harness.skip(crate::config::settings::DROPPED_CLASS_SERVED_FOR_US);
+    client.write(&request(2, 2, "clip"));
+    let mut cache = harness.accept_cache();
+    assert_eq!(harness.read_command(&mut cache)[1], request_id(2));
+    drop(cache);
+    let mut again = harness.accept_cache();
+    assert_eq!(harness.read_command(&mut again)[1], request_id(2), "the new class binds by now");
+}
+
 #[test]
 fn limits_lowered_below_the_current_use_end_each_request_once() {
     let mut harness = Harness::new();
--- a/src/routing/attempts.rs
+++ b/src/routing/attempts.rs
@@ -55,7 +55,7 @@
         let pending = PendingRequest {
             deadline: self.now.saturating_add(request.timeout),
             transfer_time_us,
-            repeat_policy: self.settings.classes.get(request.class).map(RepeatPolicy::from),
+            repeat_policy: request.repeat_policy.or_else(|| self.class_policy(request.class)),
             request,
             max_attempts: self.settings.max_attempts,
             ..PendingRequest::default()
@@ -63,6 +63,10 @@
         self.send_or_finish(pending, actions);
     }
 
+    fn class_policy(&self, class: usize) -> Option<RepeatPolicy> {
+        self.settings.classes.get(class).map(RepeatPolicy::from)
+    }
+
     /// Sends the next attempt, or finishes the request at once if it has no route.
     pub(super) fn send_or_finish(&mut self, mut pending: PendingRequest, actions: &mut Vec<Action>) {
         let Some(route) = self.route(&pending) else {
--- a/src/routing/deduplication.rs
+++ b/src/routing/deduplication.rs
@@ -51,6 +51,24 @@
 }
 
 impl RepeatPolicy {
+    /// Returns the policy that allows only what both allow.
+    pub fn strictest(self, other: RepeatPolicy) -> RepeatPolicy {
+        match (self.is_unrestricted(), other.is_unrestricted()) {
+            (true, _) => other,
+            (_, true) => self,
+            (false, false) => RepeatPolicy {
+                idempotency: self.idempotency.max(other.idempotency),
+                scope: self.scope.max(other.scope),
+                window: self.window.min(other.window),
+            },
+        }
+    }
+
+    /// Returns whether requests must carry a key by which repeats are recognised.
+    pub fn needs_key(&self) -> bool {
+        self.idempotency == Idempotency::WithKey
+    }
+
     /// Returns whether a request that may have run may be sent again at all.
     pub fn allows_repeats(&self) -> bool {
         self.idempotency != Idempotency::NotIdempotent
--- a/src/routing/events.rs
+++ b/src/routing/events.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 pub use super::constraints::Constraints;
+use super::deduplication::RepeatPolicy;
 
 /// A time on the caller's clock, or a duration, in microseconds.
 pub type Micros = u64;
@@ -23,8 +24,8 @@
     Origin,
 }
 
-/// Effect of executing a request more than once.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// Effect of executing a request more than once, the least restrictive first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Idempotency {
     /// Safe to repeat.
     Idempotent,
@@ -34,8 +35,8 @@
     NotIdempotent,
 }
 
-/// The endpoints that discard repeats of a request that another of them has run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// The endpoints that discard repeats of a request that another of them has run, the widest scope first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum DeduplicationScope {
     /// All endpoints.
     All,
@@ -263,6 +264,8 @@
     pub timeout: Micros,
     /// Size of the object in KB; 0: unknown.
     pub size_kb: f64,
+    /// What is allowed once the request may have run; `None`: what its class allows.
+    pub repeat_policy: Option<RepeatPolicy>,
 }
 
 /// Outcome of an attempt, with the facts that its response reported.
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -72,7 +72,16 @@
 
 fn request(number: u64) -> Request {
     let id = format!("{number:016x}").into();
-    Request { id, class: 0, object: number, chunk: 0, purge_group: 1, timeout: 3 * S, size_kb: 100.0 }
+    Request {
+        id,
+        class: 0,
+        object: number,
+        chunk: 0,
+        purge_group: 1,
+        timeout: 3 * S,
+        size_kb: 100.0,
+        repeat_policy: None,
+    }
 }
 
 /// Returns the maximum number of lookups for a request with its outcome, and for an update of one endpoint.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -109,6 +109,7 @@
         purge_group: object % 32,
         timeout: 3 * S,
         size_kb: 100.0,
+        repeat_policy: None,
     }
 }
 
