A client connection is idle only once its machine has acknowledged all output

Cause: 'idle' meant that the proxy's own buffer was empty, the idle time ran from when the last response was queued, and a connection whose writing side was shut down was dropped 0.5 s after its last write. Change: Transport::acknowledged_bytes asks the system (TCP_INFO by nix, which keeps the unsafe call in the library); net/delivery.rs keeps what is acknowledged and when it last grew. Client::is_idle, which timeout, standby, replacement, room for clients and descriptors and the shared bounds read, asks for it, and the idle time begins when delivery was seen. A shutdown waits for undelivered output within its time, at most SHUTDOWN_STALL_TIMEOUT (1 s) without progress; a client whose machine acknowledges nothing for DELIVERY_STALL_TIMEOUT (8 s, before: of writes) is dropped; a connection that was finished is closed CLOSE_TIMEOUT after its delivery.

--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -17,6 +17,8 @@
 #[cfg(test)]
 mod tests;
 
+use super::delivery::Delivery;
+use super::tcp_info;
 use crate::invariant;
 use crate::routing::events::Micros;
 use bytes::BytesMut;
@@ -41,6 +43,8 @@
     fn connected(&self) -> io::Result<bool>;
     /// Shuts down the writing side.
     fn shut_down_writing(&mut self) -> io::Result<()>;
+    /// Returns the number of written bytes that the peer's machine has acknowledged, or `None` if that is unknown.
+    fn acknowledged_bytes(&self) -> Option<u64>;
     /// Copies unread bytes to the front of `buffer` without consuming them, and returns their number.
     fn peek_unread_bytes(&mut self, buffer: &mut [u8]) -> usize;
 }
@@ -61,6 +65,10 @@
         self.shutdown(Shutdown::Write)
     }
 
+    fn acknowledged_bytes(&self) -> Option<u64> {
+        tcp_info::acknowledged_bytes(self)
+    }
+
     fn peek_unread_bytes(&mut self, buffer: &mut [u8]) -> usize {
         self.peek(buffer).unwrap_or(0)
     }
@@ -114,7 +122,7 @@
     /// Number of written bytes of the first buffer in the outbox.
     front_written: usize,
     queued: u64,
-    written: u64,
+    delivery: Delivery,
     /// Whether the socket may hold unread bytes.
     may_have_input: bool,
     paused: bool,
@@ -124,8 +132,6 @@
     peer_closed: bool,
     /// Time at which bytes were last received, or the dial succeeded.
     pub last_received: Micros,
-    /// Time at which bytes were last written, or the outbox was last empty.
-    pub last_write_progress: Micros,
 }
 
 impl<T: Transport> Connection<T> {
@@ -147,13 +153,12 @@
             outbox: VecDeque::new(),
             front_written: 0,
             queued: 0,
-            written: 0,
+            delivery: Delivery::new(now),
             may_have_input: false,
             paused: false,
             discarded: 0,
             peer_closed: false,
             last_received: now,
-            last_write_progress: now,
         }
     }
 
@@ -174,7 +179,7 @@
 
     /// Returns the total number of bytes written.
     pub fn written(&self) -> u64 {
-        self.written
+        self.delivery.written()
     }
 
     /// Returns the total number of bytes queued. A message is completely written once `written` reaches the value that
@@ -185,7 +190,26 @@
 
     /// Returns the number of bytes queued but not written.
     pub fn backlog(&self) -> usize {
-        (self.queued - self.written) as usize
+        (self.queued - self.written()) as usize
+    }
+
+    /// Returns the number of queued bytes that the peer's machine is not known to have acknowledged, as of the last
+    /// [`Connection::update_delivery`]. They are lost if the connection is reset.
+    pub fn undelivered(&self) -> u64 {
+        self.queued - self.written() + self.delivery.unacknowledged()
+    }
+
+    /// Returns the time at which the peer's machine last acknowledged bytes, as far as known, or from which it had to.
+    pub fn last_delivery_progress(&self) -> Micros {
+        self.delivery.last_progress()
+    }
+
+    /// Asks the system how many bytes the peer's machine has acknowledged.
+    pub fn update_delivery(&mut self, now: Micros) {
+        if self.delivery.unacknowledged() > 0 {
+            let acknowledged = self.transport.acknowledged_bytes().unwrap_or(self.written());
+            self.delivery.record_acknowledged(now, acknowledged);
+        }
     }
 
     /// Returns the number of bytes buffered for this connection, read or to be written.
@@ -247,7 +271,7 @@
             match self.transport.connected() {
                 Ok(true) => {
                     self.state = State::Open;
-                    (self.last_received, self.last_write_progress) = (now, now);
+                    self.last_received = now;
                     callbacks.opened();
                 }
                 Ok(false) => return,
@@ -325,12 +349,14 @@
         if !matches!(self.state, State::Open | State::Discarding | State::Finishing) {
             return;
         }
+        if !self.outbox.is_empty() {
+            self.delivery.begin_write(now);
+        }
         while let Some(buffer) = self.outbox.front() {
             match self.transport.write(&buffer[self.front_written..]) {
                 Ok(0) => return self.close_as(Closed::Lost),
                 Ok(n) => {
-                    self.last_write_progress = now;
-                    self.written += n as u64;
+                    self.delivery.record_written(n);
                     self.front_written += n;
                     if self.front_written == buffer.len() {
                         self.front_written = 0;
@@ -342,9 +368,9 @@
                 Err(_) => return self.close_as(Closed::Lost),
             }
         }
-        self.last_write_progress = now;
-        invariant!(self.written == self.queued, "all bytes are written once the outbox is empty");
+        invariant!(self.written() == self.queued, "all bytes are written once the outbox is empty");
         if self.state == State::Finishing {
+            self.delivery.restart_wait(now);
             match self.transport.shut_down_writing() {
                 Ok(()) if !self.peer_closed => self.state = State::Lingering,
                 _ => self.close_as(Closed::ByOwner),
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,10 +6,12 @@
 pub mod clock;
 pub mod command_channel;
 pub mod connection;
+pub mod delivery;
 pub mod event_loop;
 pub mod listener;
 pub mod pool;
 pub mod protocol;
 pub mod startup;
+pub mod tcp_info;
 #[cfg(test)]
 pub(crate) mod testing;
--- /dev/null
+++ b/src/net/tcp_info.rs
@@ -0,0 +1,30 @@
+//! The number of bytes of a TCP connection that the peer's machine has acknowledged, from the `TCP_INFO` socket option
+//! (tcp(7), `struct tcp_info` in linux/tcp.h).
+
+use nix::sys::socket::getsockopt;
+use nix::{getsockopt_impl, libc, sockopt_impl};
+use std::mem::{offset_of, size_of};
+use std::os::fd::AsFd;
+
+/// Position of the number of acknowledged bytes in the option's value.
+const BYTES_ACKED_OFFSET: usize = offset_of!(libc::tcp_info, tcpi_bytes_acked);
+/// Length of the value up to that number. Kernels return as much of the value as is asked for, and have had this field
+/// since Linux 4.1.
+const INFO_BYTES: usize = BYTES_ACKED_OFFSET + size_of::<u64>();
+
+sockopt_impl!(
+    /// The beginning of the value of `TCP_INFO`.
+    InfoPrefix,
+    GetOnly,
+    libc::IPPROTO_TCP,
+    libc::TCP_INFO,
+    [u8; INFO_BYTES]
+);
+
+/// Returns the number of bytes of an accepted connection that the peer's machine has acknowledged, the end of the stream
+/// included, or `None` if the system does not report it.
+pub fn acknowledged_bytes(socket: &impl AsFd) -> Option<u64> {
+    let info = getsockopt(socket, InfoPrefix).ok()?;
+    let field = info.get(BYTES_ACKED_OFFSET..)?;
+    Some(u64::from_ne_bytes(field.try_into().ok()?))
+}
--- a/src/net/testing.rs
+++ b/src/net/testing.rs
@@ -20,6 +20,8 @@
     pub capacity: usize,
     /// Bytes that were written.
     pub written: Vec<u8>,
+    /// Number of written bytes that the peer's machine has acknowledged; `None`: all of them.
+    pub acknowledged: Option<u64>,
     /// Number of bytes that had been written when the writing side was shut down, if it was.
     pub shutdown_at: Option<usize>,
 }
@@ -42,6 +44,10 @@
         Ok(())
     }
 
+    fn acknowledged_bytes(&self) -> Option<u64> {
+        self.0.borrow().acknowledged
+    }
+
     fn peek_unread_bytes(&mut self, buffer: &mut [u8]) -> usize {
         let peer = self.0.borrow();
         let unread = peer.incoming.iter().zip(buffer);
--- a/src/proxy/client_admission.rs
+++ b/src/proxy/client_admission.rs
@@ -125,13 +125,16 @@
         self.limit_silent_clients();
         // The number of steps is bounded, because clients may keep sending while they are being read.
         let max_steps = MAX_EVICTION_ROUNDS * (self.clients.len() + 1);
-        for _ in 0..max_steps {
+        for step in 0..max_steps {
             let (all, ending) = (self.clients.len(), self.clients.ending());
             let has_room = all < self.bounds.clients
                 || ending <= self.bounds.closing && all < self.bounds.clients + ending;
             if has_room {
                 return true;
             }
+            if step == 0 {
+                self.clients.update_deliveries(self.now);
+            }
             if ending > self.bounds.closing {
                 if let Some(token) = self.clients.longest_ending() {
                     self.drop_client(token);
@@ -174,6 +177,7 @@
     /// upstream connection. Returns `false` if all are in use. A client connection with unread input is kept,
     /// because dials free descriptors in the middle of other work, when messages can't be handled.
     pub(super) fn free_descriptor(&mut self) -> bool {
+        self.clients.update_deliveries(self.now);
         if let Some(token) = self.clients.least_useful_without_input() {
             self.metrics.evicted_idle_clients += 1;
             self.drop_client(token);
--- a/src/proxy/clients.rs
+++ b/src/proxy/clients.rs
@@ -29,8 +29,8 @@
 pub(super) const BACKLOG_HIGH_WATER: usize = 1 << 20;
 /// Size of the write backlog, in bytes, below which reading resumes.
 const BACKLOG_LOW_WATER: usize = 1 << 18;
-/// Time after which a client that reads none of its pending output is dropped, in microseconds.
-pub(super) const WRITE_STALL_TIMEOUT: Micros = 8_000 * MILLISECOND;
+/// Time after which a client whose machine acknowledges none of its undelivered output is dropped, in microseconds.
+pub(super) const DELIVERY_STALL_TIMEOUT: Micros = 8_000 * MILLISECOND;
 /// Time after which a connection without open requests is closed, in microseconds. Clients that reuse their
 /// connections close them after 4 s.
 pub(super) const IDLE_TIMEOUT: Micros = 5_000 * MILLISECOND;
@@ -42,7 +42,8 @@
 pub(super) const MESSAGE_TIMEOUT_EXTENSION: Micros = 600 * MILLISECOND;
 /// Gap between received bytes from which a partial message no longer counts as arriving, in microseconds.
 const MESSAGE_STALL_TIMEOUT: Micros = 1_000 * MILLISECOND;
-/// Time that a client has to close its side after the proxy has closed its own, in microseconds.
+/// Time that a client has to close its side after it got everything and the proxy has closed its own, in
+/// microseconds.
 pub(super) const CLOSE_TIMEOUT: Micros = 500 * MILLISECOND;
 
 /// A client connection.
@@ -61,6 +62,8 @@
     /// message.
     message_awaited_since: Option<Micros>,
     pub(super) last_used: Micros,
+    /// Whether output was undelivered when that was last looked at.
+    was_undelivered: bool,
     /// Protocol violation after which nothing more is read. The error is sent as the last message, once all
     /// open requests are answered.
     protocol_error: Option<Malformed>,
@@ -94,13 +97,41 @@
             message_count: 0,
             message_awaited_since: Some(now),
             last_used: now,
+            was_undelivered: false,
             protocol_error: None,
         }
     }
 
-    /// Returns whether the client has no open request and no pending output.
+    /// Returns whether the client has no open request and its machine has acknowledged all output. To its
+    /// client, a request is open until its response was read, and a close could discard what this system has
+    /// not delivered.
     pub(super) fn is_idle(&self) -> bool {
-        self.open_streams.is_empty() && self.conn.backlog() == 0
+        self.open_streams.is_empty() && self.conn.undelivered() == 0
+    }
+
+    /// Looks at what the client's machine has acknowledged. The connection counts as used until all output was
+    /// seen delivered.
+    fn update_delivery(&mut self, now: Micros) {
+        self.conn.update_delivery(now);
+        let is_undelivered = self.conn.undelivered() > 0;
+        if self.was_undelivered && !is_undelivered {
+            self.last_used = now;
+        }
+        self.was_undelivered = is_undelivered;
+    }
+
+    /// Returns whether the client's machine has acknowledged none of the undelivered output for `limit`.
+    pub(super) fn is_delivery_stalled(&self, now: Micros, limit: Micros) -> bool {
+        let since_progress = now.saturating_sub(self.conn.last_delivery_progress());
+        self.conn.undelivered() > 0 && since_progress >= limit
+    }
+
+    /// Returns whether the proxy has closed its side and the client, which got everything, has not closed its
+    /// own in time.
+    fn is_close_overdue(&self, now: Micros) -> bool {
+        let since_delivery = now.saturating_sub(self.conn.last_delivery_progress());
+        let has_finished = self.conn.state() == State::Lingering && self.conn.undelivered() == 0;
+        has_finished && since_delivery >= CLOSE_TIMEOUT
     }
 
     /// Returns whether the client has sent at least one complete message.
@@ -316,11 +347,18 @@
         self.by_token.values().filter(|client| client.conn.is_ending()).count()
     }
 
-    /// Returns the closing connection that has made no write progress for longest.
+    /// Looks at what the machines of all clients have acknowledged.
+    pub(super) fn update_deliveries(&mut self, now: Micros) {
+        for client in self.by_token.values_mut() {
+            client.update_delivery(now);
+        }
+    }
+
+    /// Returns the closing connection that has made no delivery progress for longest.
     pub(super) fn longest_ending(&self) -> Option<Token> {
         let ending = self.by_token.iter().filter(|(_, client)| client.conn.is_ending());
         ending
-            .min_by_key(|(token, client)| (client.conn.last_write_progress, **token))
+            .min_by_key(|(token, client)| (client.conn.last_delivery_progress(), **token))
             .map(|(token, _)| *token)
     }
 
@@ -365,11 +403,7 @@
     fn expired(&self, now: Micros, lifecycle: &Lifecycle, max_buffered: usize) -> ExpiredClients {
         let since = |moment: Micros| now.saturating_sub(moment);
         let is_stalled = |client: &Client| {
-            let is_not_reading =
-                client.conn.backlog() > 0 && since(client.conn.last_write_progress) >= WRITE_STALL_TIMEOUT;
-            let is_unclosed = client.conn.state() == State::Lingering
-                && since(client.conn.last_write_progress) >= CLOSE_TIMEOUT;
-            is_not_reading || is_unclosed
+            client.is_delivery_stalled(now, DELIVERY_STALL_TIMEOUT) || client.is_close_overdue(now)
         };
         let is_idle = |client: &Client| {
             let idle_time = since(client.last_used);
@@ -600,6 +634,7 @@
     /// Handles timeouts that no event reports: idle connections, messages that are not completed, and clients
     /// that do not read.
     pub(super) fn sweep_clients(&mut self) {
+        self.clients.update_deliveries(self.now);
         let expired = self.clients.expired(self.now, &self.lifecycle, self.bounds.client_buffers);
         for token in expired.stalled {
             self.drop_client(token);
--- a/src/proxy/draining.rs
+++ b/src/proxy/draining.rs
@@ -1,15 +1,19 @@
 //! Connection handling in standby, after replacement by another process, and on SIGTERM. [`crate::lifecycle`]
 //! decides what follows from each.
 
-use super::timers::TimerEvent;
+use super::timers::{TimerEvent, MILLISECOND};
 use super::Proxy;
 use crate::lifecycle::{CallRefused, Event, OpenWork, Phase};
 use crate::net::protocol::frames;
-use crate::routing::events::Id;
+use crate::routing::events::{Id, Micros};
 use mio::Token;
 use slog::{debug, info};
 use std::io;
 
+/// Time after which a shutdown no longer waits for a client whose machine acknowledges none of its undelivered
+/// output, in microseconds.
+pub(super) const SHUTDOWN_STALL_TIMEOUT: Micros = 1_000 * MILLISECOND;
+
 impl Proxy {
     /// Passes an event to the lifecycle, and applies the resulting change of phase.
     ///
@@ -107,15 +111,18 @@
     }
 
     /// Returns whether a shutdown was requested and no work is left.
-    pub(super) fn is_drained(&self) -> bool {
+    pub(super) fn is_drained(&mut self) -> bool {
         if self.lifecycle.phase() != Phase::Stopping {
             return false;
         }
+        self.clients.update_deliveries(self.now);
         let mut clients = self.clients.values();
-        let has_backlog = clients.any(|client| client.conn.backlog() > 0);
+        let is_delivering = clients.any(|client| {
+            client.conn.undelivered() > 0 && !client.is_delivery_stalled(self.now, SHUTDOWN_STALL_TIMEOUT)
+        });
         let has_partial = self.clients.values().any(|client| client.conn.has_partial_message());
         let open = OpenWork {
-            unanswered: self.requests.unfinished().next().is_some() || has_backlog,
+            unanswered: self.requests.unfinished().next().is_some() || is_delivering,
             incoming: !self.unfinished_reads.is_empty() || has_partial,
             clients: self.clients.values().any(|client| client.conn.is_open()),
         };
--- a/src/proxy/takeover.rs
+++ b/src/proxy/takeover.rs
@@ -433,7 +433,8 @@
 
     /// Closes the client connections that have been idle longest. A connection with a partial message is in
     /// use.
-    fn close_idle_clients(&mut self) {
+    pub(super) fn close_idle_clients(&mut self) {
+        self.clients.update_deliveries(self.now);
         let is_idle =
             |client: &Client| client.is_idle() && client.conn.is_open() && !client.conn.has_partial_message();
         let idle = self.clients.iter().filter(|(_, client)| is_idle(client));
--- a/src/proxy/tests.rs
+++ b/src/proxy/tests.rs
@@ -5,6 +5,7 @@
 mod clients;
 mod command_channel;
 mod configuration;
+mod delivery;
 mod draining;
 mod handover;
 mod local_cache;
@@ -19,9 +20,10 @@
 mod wall_clock;
 
 use super::clients::{
-    BACKLOG_HIGH_WATER, CLOSE_TIMEOUT, IDLE_TIMEOUT, MAX_UNANSWERED_CANCELS, MESSAGE_TIMEOUT,
-    MESSAGE_TIMEOUT_EXTENSION, WRITE_STALL_TIMEOUT,
+    BACKLOG_HIGH_WATER, CLOSE_TIMEOUT, DELIVERY_STALL_TIMEOUT, IDLE_TIMEOUT, MAX_UNANSWERED_CANCELS,
+    MESSAGE_TIMEOUT, MESSAGE_TIMEOUT_EXTENSION,
 };
+use super::draining::SHUTDOWN_STALL_TIMEOUT;
 use super::housekeeping::SWEEP_INTERVAL;
 use super::predecessor;
 use super::requests::RESPONSE_MARGIN;
@@ -49,6 +51,7 @@
 use bytes::{BufMut, BytesMut};
 use mio::Token;
 use rustc_hash::FxHashMap;
+use rustix::net::sockopt;
 use slog::Logger;
 use std::cell::{Ref, RefCell};
 use std::collections::BTreeSet;
@@ -62,6 +65,10 @@
 /// machines; a turn without events lasts `TURN_INTERVAL`, in microseconds.
 const MAX_TURNS: usize = 4_000;
 const TURN_INTERVAL: Micros = 5 * MILLISECOND;
+/// Real time in which the system of a client that reads has acknowledged everything: more than the 40 ms by which
+/// acknowledgements are delayed.
+const MAX_ACKNOWLEDGEMENT_WAITS: usize = 60;
+const ACKNOWLEDGEMENT_WAIT: Duration = Duration::from_millis(1);
 const CACHE: &str = "s-00000001";
 const ORIGIN: &str = "s-00000002";
 
@@ -110,13 +117,22 @@
         loop {
             match self.stream.read(&mut chunk) {
                 Ok(0) => return self.ended = true,
-                Ok(n) => self.received.put_slice(&chunk[..n]),
+                Ok(n) => {
+                    self.received.put_slice(&chunk[..n]);
+                    self.acknowledge();
+                }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
                 Err(_) => return (self.ended, self.reset) = (true, true),
             }
         }
     }
 
+    /// Sends the acknowledgement of what was read at once. The system may delay it by 40 ms of real time, in which
+    /// tests skip seconds.
+    fn acknowledge(&self) {
+        let _ = sockopt::set_tcp_quickack(&self.stream, true);
+    }
+
     fn write(&mut self, bytes: &[u8]) {
         self.stream.write_all(bytes).unwrap();
     }
@@ -194,7 +210,20 @@
         panic!("timed out waiting for {what}");
     }
 
+    /// Waits, in real time but not for long, until the machines of all clients have acknowledged all output.
+    /// Clients that do not read never do.
+    fn await_acknowledgements(&mut self) {
+        for _ in 0..MAX_ACKNOWLEDGEMENT_WAITS {
+            self.proxy.clients.update_deliveries(self.proxy.now);
+            if self.proxy.clients.values().all(|client| client.conn.undelivered() == 0) {
+                return;
+            }
+            std::thread::sleep(ACKNOWLEDGEMENT_WAIT);
+        }
+    }
+
     fn skip(&mut self, span: Micros) {
+        self.await_acknowledgements();
         self.proxy.clock.skip(span);
         self.proxy.turn().unwrap();
     }
--- a/src/proxy/tests/clients.rs
+++ b/src/proxy/tests/clients.rs
@@ -243,7 +243,7 @@
     }
     harness.proxy.sweep();
     assert!(harness.proxy.clients.tokens() == [tokens[0]], "the client with the largest buffer is closed");
-    harness.proxy.now += WRITE_STALL_TIMEOUT;
+    harness.proxy.now += DELIVERY_STALL_TIMEOUT;
     harness.proxy.sweep();
     assert!(harness.proxy.clients.is_empty(), "the other client read nothing for too long");
 }
--- a/src/proxy/tests/races.rs
+++ b/src/proxy/tests/races.rs
@@ -1,7 +1,6 @@
 //! Races between two events: each test forces the problematic order on real connections every time.
 
 use super::*;
-use rustix::net::sockopt;
 
 impl Harness {
     fn only_client(&self) -> Token {
@@ -35,6 +34,7 @@
 
     /// Skips time without a turn of the event loop.
     fn skip_before_turn(&mut self, span: Micros) {
+        self.await_acknowledgements();
         self.proxy.clock.skip(span);
         self.proxy.now = self.proxy.clock.now();
     }
