A connection that still delivers does not make room, one whose client stopped reading does

Cause: when too many connections were closing, the one without write progress for longest was dropped, though its responses might lie in the send buffer. And since connections with undelivered output are no longer idle, clients that read nothing could have kept all places for the 8 s of DELIVERY_STALL_TIMEOUT. Change: a closing connection is dropped for room only once it has delivered everything or has made no delivery progress for EVICTION_STALL_TIMEOUT (2 s); where no connection is idle, one without open requests whose client has acknowledged nothing for that time gives way, to a client and to a descriptor. Result: only_a_client_that_has_stopped_reading_makes_room_for_another failed before, and fails with each of the three decisions undone; the proxy's tests passed.

--- a/src/proxy/client_admission.rs
+++ b/src/proxy/client_admission.rs
@@ -15,6 +15,9 @@
 const MAX_ACCEPTS_PER_TURN: usize = 64;
 /// Maximum number of times that each connection is considered for eviction to make room for a new one.
 const MAX_EVICTION_ROUNDS: usize = 3;
+/// Time after which a client whose machine acknowledges none of its undelivered output may be dropped to make room for
+/// another, in microseconds.
+pub(super) const EVICTION_STALL_TIMEOUT: Micros = 2_000 * MILLISECOND;
 /// Delay before accepting again after a failed accept, in microseconds.
 const ACCEPT_RETRY_PAUSE: Micros = 20 * MILLISECOND;
 
@@ -118,7 +121,7 @@
 
     /// Closes the least useful connections until there is room for one more. Where silent connections have
     /// reached their limit, the oldest of them are closed first, then the connections that have been idle for
-    /// longest. Returns `false` if all connections are in use. This way, hundreds of clients that connect at
+    /// longest, then those whose clients have stopped reading. Returns `false` if all connections are in use. This way, hundreds of clients that connect at
     /// once, or that send one request and stay connected, lock out neither other clients nor the other users
     /// of descriptors.
     pub(super) fn make_room(&mut self) -> bool {
@@ -135,11 +138,10 @@
             if step == 0 {
                 self.clients.update_deliveries(self.now);
             }
-            if ending > self.bounds.closing {
-                if let Some(token) = self.clients.longest_ending() {
-                    self.drop_client(token);
-                }
-            } else if !self.evict_idle_client() {
+            let is_changed = ending > self.bounds.closing && self.drop_expendable_ending()
+                || self.evict_idle_client()
+                || self.drop_stalled_client();
+            if !is_changed {
                 break;
             }
         }
@@ -160,6 +162,22 @@
         true
     }
 
+    /// Drops the closing connection that has made no delivery progress for longest, unless it still delivers.
+    fn drop_expendable_ending(&mut self) -> bool {
+        let expendable = self.clients.expendable_ending(self.now, EVICTION_STALL_TIMEOUT);
+        expendable.inspect(|&token| self.drop_client(token)).is_some()
+    }
+
+    /// Drops the connection whose client has not read its responses for longest, if that is long enough.
+    fn drop_stalled_client(&mut self) -> bool {
+        let stalled = self.clients.stalled_without_requests(self.now, EVICTION_STALL_TIMEOUT);
+        if let Some(token) = stalled {
+            self.metrics.evicted_idle_clients += 1;
+            self.drop_client(token);
+        }
+        stalled.is_some()
+    }
+
     /// Closes the oldest silent connections until their number is below the limit.
     fn limit_silent_clients(&mut self) {
         while self.clients.silent() >= self.bounds.silent_clients {
@@ -174,7 +192,7 @@
     }
 
     /// Frees a descriptor by closing the least useful connection: that of an idle client, or else an idle
-    /// upstream connection. Returns `false` if all are in use. A client connection with unread input is kept,
+    /// upstream connection, or else that of a client that has stopped reading. Returns `false` if all are in use. A client connection with unread input is kept,
     /// because dials free descriptors in the middle of other work, when messages can't be handled.
     pub(super) fn free_descriptor(&mut self) -> bool {
         self.clients.update_deliveries(self.now);
@@ -184,9 +202,10 @@
             return true;
         }
         let idle = self.pool.idle_for(self.now, 0).first().copied();
-        if let Some(token) = idle {
-            self.close_upstream(token);
+        match idle {
+            Some(token) => self.close_upstream(token),
+            None => return self.drop_stalled_client(),
         }
-        idle.is_some()
+        true
     }
 }
--- a/src/proxy/clients.rs
+++ b/src/proxy/clients.rs
@@ -354,10 +354,26 @@
         }
     }
 
-    /// Returns the closing connection that has made no delivery progress for longest.
-    pub(super) fn longest_ending(&self) -> Option<Token> {
-        let ending = self.by_token.iter().filter(|(_, client)| client.conn.is_ending());
-        ending
+    /// Returns the closing connection that has made no delivery progress for longest, of those that have
+    /// delivered all output or have made none for `stall_limit`.
+    pub(super) fn expendable_ending(&self, now: Micros, stall_limit: Micros) -> Option<Token> {
+        self.longest_without_progress(|client| {
+            let is_delivered = client.conn.undelivered() == 0;
+            client.conn.is_ending() && (is_delivered || client.is_delivery_stalled(now, stall_limit))
+        })
+    }
+
+    /// Returns the connection without open requests that has made no delivery progress for longest, if that
+    /// is at least `stall_limit`.
+    pub(super) fn stalled_without_requests(&self, now: Micros, stall_limit: Micros) -> Option<Token> {
+        self.longest_without_progress(|client| {
+            client.open_streams.is_empty() && client.is_delivery_stalled(now, stall_limit)
+        })
+    }
+
+    fn longest_without_progress(&self, is_selected: impl Fn(&Client) -> bool) -> Option<Token> {
+        let selected = self.by_token.iter().filter(|(_, client)| is_selected(client));
+        selected
             .min_by_key(|(token, client)| (client.conn.last_delivery_progress(), **token))
             .map(|(token, _)| *token)
     }
--- a/src/proxy/tests.rs
+++ b/src/proxy/tests.rs
@@ -19,6 +19,7 @@
 mod upstreams;
 mod wall_clock;
 
+use super::client_admission::EVICTION_STALL_TIMEOUT;
 use super::clients::{
     BACKLOG_HIGH_WATER, CLOSE_TIMEOUT, DELIVERY_STALL_TIMEOUT, IDLE_TIMEOUT, MAX_UNANSWERED_CANCELS,
     MESSAGE_TIMEOUT, MESSAGE_TIMEOUT_EXTENSION,
--- a/src/proxy/tests/delivery.rs
+++ b/src/proxy/tests/delivery.rs
@@ -254,6 +254,38 @@
     assert!(!reader.is_connected());
 }
 
+/// Guards against a finished connection that is dropped to make room while its client is still reading the last responses,
+/// and against clients that do not read and keep new ones out: those give way after `EVICTION_STALL_TIMEOUT`, whether
+/// their connection is open or finished.
+#[test]
+fn only_a_client_that_has_stopped_reading_makes_room_for_another() {
+    for is_finished in [true, false] {
+        let mut reader = SlowReader::new();
+        let token = reader.token;
+        (reader.harness.proxy.bounds.clients, reader.harness.proxy.bounds.closing) = (1, 0);
+        if is_finished {
+            reader.harness.proxy.finish_client(token);
+        }
+        for _ in 0..3 {
+            reader.skip_while_reading(1, EVICTION_STALL_TIMEOUT / 2);
+            let mut refused = reader.harness.connect_client();
+            reader.harness.expect_end(&mut refused);
+            assert!(reader.is_connected(), "the client is reading, finished: {is_finished}");
+        }
+        reader.harness.skip(EVICTION_STALL_TIMEOUT);
+        let mut new = reader.harness.connect_client();
+        new.write(&frame(1, 0, &fields(&[])));
+        assert_eq!(reader.harness.read_frame(&mut new).0, 2);
+        assert!(!reader.is_connected(), "the client has stopped reading, finished: {is_finished}");
+    }
+    let mut reader = SlowReader::new();
+    reader.harness.proxy.sweep();
+    while reader.harness.proxy.free_descriptor() {}
+    assert!(reader.is_connected());
+    reader.harness.skip(EVICTION_STALL_TIMEOUT);
+    assert!(reader.harness.proxy.free_descriptor() && !reader.is_connected());
+}
+
 /// Guards against a shutdown that ends while responses lie in the send buffer, and against one that waits for a client
 /// that does not read: it keeps to `SHUTDOWN_STALL_TIMEOUT` and to its deadline.
 #[test]
