A connection that is finished is not reset because its client keeps sending

Cause: a closing connection whose client had sent more than 4 MB since was closed at once over unread input, which resets it; responses and the error that lay in the send buffer were lost. Change: beyond that amount the rest stays unread, as it already did before the connection was finished; the connection ends when its output is delivered and CLOSE_TIMEOUT has passed, or by DELIVERY_STALL_TIMEOUT. The model of the state transitions no longer allows a close over unread bytes at all. Result: a_client_that_keeps_sending_after_a_protocol_error_still_gets_its_responses failed before and passes; the state model passes with the narrower rule.

--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -34,7 +34,8 @@
 /// Maximum number of unread bytes that are peeked at: more than the default receive buffer of a socket.
 const MAX_PEEK_BYTES: usize = 256 * 1024;
 /// Maximum number of bytes discarded from a peer that keeps sending after the connection was finished or its input was
-/// refused: more than can have been in transit when the peer could first see that.
+/// refused: more than can have been in transit when the peer could first see that. The rest stays unread: closing at once
+/// would reset the connection, and output that is not delivered yet would be lost.
 const MAX_DISCARDED_BYTES: usize = 4 << 20;
 
 /// A byte transport: a socket, or a script in tests.
@@ -252,8 +253,7 @@
         let reads = match self.state {
             State::Open => !self.paused,
             // Beyond that limit the peer is blocked by flow control; the poll still reports that it closes.
-            State::Discarding => self.discarded <= MAX_DISCARDED_BYTES,
-            State::Finishing | State::Lingering => true,
+            State::Discarding | State::Finishing | State::Lingering => self.discarded <= MAX_DISCARDED_BYTES,
             State::Dialing | State::Closed(_) => false,
         };
         self.may_have_input && reads
@@ -320,9 +320,6 @@
     fn take_input(&mut self, now: Micros, bytes: &[u8], callbacks: &mut impl Callbacks) {
         if self.state == State::Discarding || self.is_ending() {
             self.discarded += bytes.len();
-            if self.discarded > MAX_DISCARDED_BYTES && self.is_ending() {
-                self.close_as(Closed::ByOwner);
-            }
             return;
         }
         self.inbox.extend_from_slice(bytes);
--- a/src/net/connection/tests.rs
+++ b/src/net/connection/tests.rs
@@ -115,7 +115,7 @@
                     }
                     (State::Finishing | State::Lingering, _) => {
                         may_become.push(State::Closed(Closed::Lost));
-                        let ended = before == State::Lingering || conn.discarded > MAX_DISCARDED_BYTES;
+                        let ended = before == State::Lingering;
                         may_become.extend(ended.then_some(State::Closed(Closed::ByOwner)));
                     }
                     _ => {}
@@ -126,10 +126,7 @@
                 if conn.state() == State::Closed(Closed::ByOwner) && before != conn.state() {
                     // Guards the last response: a close with unread input resets the connection and loses it.
                     let (read, peer) = (peer.borrow().incoming.is_empty(), peer.borrow());
-                    assert!(
-                        conn.discarded > MAX_DISCARDED_BYTES || read && peer.end.is_some(),
-                        "closed over unread bytes"
-                    );
+                    assert!(read && peer.end.is_some(), "closed over unread bytes");
                 }
                 if conn.state() == State::Closed(Closed::Lost) && before != conn.state() {
                     assert!(peer.borrow().end.is_some(), "lost without a cause");
--- a/src/proxy/tests/delivery.rs
+++ b/src/proxy/tests/delivery.rs
@@ -286,6 +286,25 @@
     assert!(reader.harness.proxy.free_descriptor() && !reader.is_connected());
 }
 
+/// Guards against the loss of undelivered responses when the client keeps sending more than is discarded.
+#[test]
+fn a_client_that_keeps_sending_after_a_protocol_error_still_gets_its_responses() {
+    let mut reader = SlowReader::new();
+    reader.client.write(&frame(99, 0, &[]));
+    let mut sender = reader.client.stream.try_clone().unwrap();
+    for _ in 0..200 {
+        // The proxy stops reading at some point; the rest stays unsent.
+        for _ in 0..10 {
+            let _ = sender.write(&[0; 65_536]);
+        }
+        reader.harness.proxy.timers.set(reader.harness.proxy.now, TimerEvent::AcceptRetry);
+        reader.harness.proxy.turn().unwrap();
+    }
+    reader.skip_while_reading(2, CLOSE_TIMEOUT + SWEEP_INTERVAL);
+    reader.read_response();
+    assert_eq!(reader.harness.read_frame(&mut reader.client).2[0], 51);
+}
+
 /// Guards against a shutdown that ends while responses lie in the send buffer, and against one that waits for a client
 /// that does not read: it keeps to `SHUTDOWN_STALL_TIMEOUT` and to its deadline.
 #[test]
