A request whose cancellation is left unread in its turn reaches no endpoint

Cause: a turn reads 128 KB of a client; a cancellation counted when it came in the same turn as its request, and one that lay unread was looked for before further attempts and those that had waited, not before the first. Change: where a turn has read requests and leaves input unread, that input is looked through once for cancellations of these requests before any of them is handled.

--- a/src/proxy/clients.rs
+++ b/src/proxy/clients.rs
@@ -161,11 +161,12 @@
     }
 
     /// Validates the messages of one turn before any of them is handled, and drops requests that were
-    /// cancelled in the same turn. Requests that no client waits for, or that are invalid, must not reach the
-    /// endpoints.
+    /// cancelled in the same turn or in `unread` input. Requests that no client waits for, or that are
+    /// invalid, must not reach the endpoints.
     fn validate(
         &mut self,
         messages: Vec<ClientMessage>,
+        unread: &[u8],
         check_request: impl Fn(&ClientRequest) -> Result<(), Malformed>,
     ) -> ValidatedMessages {
         let mut valid = ValidatedMessages::default();
@@ -199,9 +200,21 @@
                 break;
             }
         }
+        for stream in frames::cancelled_streams(unread) {
+            if streams.begun.contains_key(&stream) {
+                self.record_cancel(stream, &mut streams, &mut valid.messages);
+            }
+        }
         valid
     }
 
+    /// Returns the input that this turn leaves unread, if it has brought requests.
+    fn unread_after(&mut self, messages: &[ClientMessage]) -> Vec<u8> {
+        let is_request = |message: &ClientMessage| matches!(message, ClientMessage::Request { .. });
+        let needs_look = self.conn.needs_read() && messages.iter().any(is_request);
+        needs_look.then(|| self.conn.peek_unread()).flatten().unwrap_or_default()
+    }
+
     /// Counts a cancellation, and drops its request if that came in the same turn. All such requests of one
     /// turn count as one, because they cost nothing but reading, and many arrive at once after the process
     /// was stopped for a while.
@@ -481,7 +494,8 @@
         if has_disconnected {
             return self.drop_client(token);
         }
-        let valid = client.validate(received.messages, |request| {
+        let unread = client.unread_after(&received.messages);
+        let valid = client.validate(received.messages, &unread, |request| {
             let class_lookup = self.classes.find(self.now, &request.route);
             let may_lack_key = self.classes.recently_allowed_no_key(self.now, &request.route);
             check_request(request, &self.settings, class_lookup, may_lack_key)
--- a/src/proxy/tests/pauses.rs
+++ b/src/proxy/tests/pauses.rs
@@ -2,6 +2,7 @@
 
 use super::command_channel::{event, record, DRAINING};
 use super::purge_log::with_current_purge_log;
+use super::races::large_edit;
 use super::*;
 
 /// A short pause, one longer than the message timeout, and two longer than a connection may be idle, in microseconds.
@@ -53,6 +54,28 @@
     assert_eq!(harness.outcomes(), [(AttemptStatus::Cancelled, true)]);
 }
 
+/// Guards against attempts for requests that were cancelled during a pause, when requests and cancellations are more than
+/// one turn reads.
+#[test]
+fn requests_whose_cancellations_are_left_for_a_later_turn_reach_no_endpoint() {
+    const EDITS: u32 = 5;
+    let mut harness = Harness::new();
+    let mut client = harness.connect_client();
+    harness.enlarge_client_buffer();
+    for stream in 1..=EDITS {
+        client.write(&large_edit(stream, stream));
+    }
+    for stream in 1..=EDITS {
+        client.write(&frame(9, stream, &[]));
+    }
+    client.write(&request(EDITS + 1, EDITS + 1, "clip"));
+    harness.await_client_input();
+    let mut cache = harness.accept_cache();
+    assert_eq!(harness.read_command(&mut cache)[1], request_id(EDITS + 1));
+    assert_eq!(harness.proxy.metrics.attempts, 1, "the only attempt is that of the last request");
+    assert_eq!(harness.proxy.requests.len(), 1);
+}
+
 /// Guards against an attempt to an endpoint whose drain was announced while the process was suspended.
 #[test]
 fn a_drain_announced_during_a_pause_is_applied_before_a_completed_dial_is_used() {
--- a/src/proxy/tests/races.rs
+++ b/src/proxy/tests/races.rs
@@ -18,7 +18,7 @@
 
     /// Enlarges the receive buffer of the only client connection, so that the client can send more than one
     /// turn reads without a turn of the event loop.
-    fn enlarge_client_buffer(&mut self) {
+    pub(super) fn enlarge_client_buffer(&mut self) {
         self.wait_until("the client", |proxy| (proxy.clients.len() == 1).then_some(()));
         let token = self.only_client();
         let stream = self.proxy.clients.get_mut(&token).unwrap().conn.transport();
@@ -64,7 +64,7 @@
 }
 
 /// Encodes an edit with a body of at least 47,000 bytes.
-fn large_edit(stream: u32, number: u32) -> Vec<u8> {
+pub(super) fn large_edit(stream: u32, number: u32) -> Vec<u8> {
     let short = edit(stream, number);
     let body = [&short[9..], &vec![b'x'; 47_000][..]].concat();
     frame(7, stream, &body)
