Unread input is looked through for cancellations as far as a client may have requests open

Cause: 256 KB of unread input were looked at, while a client may have 32 requests of up to 64 KB open and the system's receive buffer grows beyond that. Change: up to 2 MB, and only as much room as there is unread input. Result: all_that_a_client_may_have_open_unread_is_looked_through failed before (262,144 of 2,060,288 bytes) and passes; 313 unit tests passed.

--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -31,8 +31,8 @@
 const READ_CHUNK_BYTES: usize = 16 * 1024;
 /// Maximum number of bytes read in one iteration of the event loop, so that other connections get their share.
 const MAX_BYTES_PER_TURN: usize = 128 * 1024;
-/// Maximum number of unread bytes that are peeked at: more than the default receive buffer of a socket.
-const MAX_PEEK_BYTES: usize = 256 * 1024;
+/// Maximum number of unread bytes that are peeked at: more than all requests that a client may have open.
+const MAX_PEEK_BYTES: usize = 2 << 20;
 /// Maximum number of bytes discarded from a peer that keeps sending after the connection was finished or its input was
 /// refused: more than can have been in transit when the peer could first see that. The rest stays unread: closing at once
 /// would reset the connection, and output that is not delivered yet would be lost.
@@ -46,6 +46,8 @@
     fn shut_down_writing(&mut self) -> io::Result<()>;
     /// Returns the number of written bytes that the peer's machine has acknowledged, or `None` if that is unknown.
     fn acknowledged_bytes(&self) -> Option<u64>;
+    /// Returns the number of unread bytes.
+    fn unread_len(&self) -> usize;
     /// Copies unread bytes to the front of `buffer` without consuming them, and returns their number.
     fn peek_unread_bytes(&mut self, buffer: &mut [u8]) -> usize;
 }
@@ -70,6 +72,10 @@
         tcp_info::acknowledged_bytes(self)
     }
 
+    fn unread_len(&self) -> usize {
+        rustix::io::ioctl_fionread(self).map_or(0, |count| count as usize)
+    }
+
     fn peek_unread_bytes(&mut self, buffer: &mut [u8]) -> usize {
         self.peek(buffer).unwrap_or(0)
     }
@@ -226,12 +232,13 @@
     /// Returns the bytes of an incomplete message followed by unread ones, up to `MAX_PEEK_BYTES` of these, or `None`
     /// if there are no unread bytes or the connection is not open.
     pub fn peek_unread(&mut self) -> Option<Vec<u8>> {
-        if !self.is_open() || !self.has_pending_input() {
+        let unread = self.transport.unread_len().min(MAX_PEEK_BYTES);
+        if !self.is_open() || unread == 0 {
             return None;
         }
         let mut bytes = self.inbox.to_vec();
         let buffered = bytes.len();
-        bytes.resize(buffered + MAX_PEEK_BYTES, 0);
+        bytes.resize(buffered + unread, 0);
         let unread = self.transport.peek_unread_bytes(&mut bytes[buffered..]);
         bytes.truncate(buffered + unread);
         Some(bytes)
--- a/src/net/connection/tests.rs
+++ b/src/net/connection/tests.rs
@@ -196,3 +196,13 @@
         check(accepted, steps);
     }
 }
+
+/// Guards against a cancellation that lies behind more unread requests than are looked through.
+#[test]
+fn all_that_a_client_may_have_open_unread_is_looked_through() {
+    const UNREAD_BYTES: usize = 32 * 64_384;
+    let transport = ScriptedTransport::default();
+    transport.0.borrow_mut().incoming.extend(std::iter::repeat_n(7, UNREAD_BYTES));
+    let mut conn = Connection::accepted(transport, 0);
+    assert_eq!(conn.peek_unread().map(|bytes| bytes.len()), Some(UNREAD_BYTES));
+}
--- a/src/net/testing.rs
+++ b/src/net/testing.rs
@@ -48,6 +48,10 @@
         self.0.borrow().acknowledged
     }
 
+    fn unread_len(&self) -> usize {
+        self.0.borrow().incoming.len()
+    }
+
     fn peek_unread_bytes(&mut self, buffer: &mut [u8]) -> usize {
         let peer = self.0.borrow();
         let unread = peer.incoming.iter().zip(buffer);
