Requests wait for the rest of the input that was sent with them before their first attempt

Cause: the mend before looked at the receive buffer only. The look at unread input before the first attempt is superseded and gone; the one before further attempts stays.

--- a/src/net/protocol/frames.rs
+++ b/src/net/protocol/frames.rs
@@ -168,22 +168,17 @@
 }
 
 /// Whether the complete messages at the front of `bytes` include a cancellation of `stream`.
-pub fn contains_cancel(bytes: &[u8], stream: u32) -> bool {
-    cancelled_streams(bytes).any(|cancelled| cancelled == stream)
-}
-
-/// Returns the streams that the complete messages at the front of `bytes` cancel.
-pub fn cancelled_streams(mut bytes: &[u8]) -> impl Iterator<Item = u32> + '_ {
-    let frames = std::iter::from_fn(move || {
-        let (length, rest) = bytes.split_first_chunk::<LENGTH_BYTES>()?;
-        let (frame, remaining) = rest.split_at_checked(u32::from_be_bytes(*length) as usize)?;
+pub fn contains_cancel(mut bytes: &[u8], stream: u32) -> bool {
+    let cancel = [&[CANCEL][..], &stream.to_be_bytes()].concat();
+    while let Some((length, rest)) = bytes.split_first_chunk::<LENGTH_BYTES>() {
+        let length = u32::from_be_bytes(*length) as usize;
+        let Some((frame, remaining)) = rest.split_at_checked(length) else { return false };
+        if frame == cancel {
+            return true;
+        }
         bytes = remaining;
-        Some(frame)
-    });
-    frames.filter_map(|frame| match frame {
-        [CANCEL, stream @ ..] => Some(u32::from_be_bytes(stream.try_into().ok()?)),
-        _ => None,
-    })
+    }
+    false
 }
 
 /// Encodes the response to a request.
--- a/src/proxy/clients.rs
+++ b/src/proxy/clients.rs
@@ -3,6 +3,7 @@
 //! [`Clients`] owns the connections and selects among them; [`super::client_admission`] accepts and evicts
 //! them, and [`super::requests`] holds the requests received on them.
 
+use super::deferred_messages::DeferredMessages;
 use super::message_buffer::MessageBuffer;
 use super::timers::MILLISECOND;
 use super::Proxy;
@@ -67,6 +68,8 @@
     /// Protocol violation after which nothing more is read. The error is sent as the last message, once all
     /// open requests are answered.
     protocol_error: Option<Malformed>,
+    /// Messages that wait until what the client has sent is read further.
+    deferred: DeferredMessages,
 }
 
 /// Messages of one turn, up to the first that violates the protocol.
@@ -99,14 +102,15 @@
             last_used: now,
             was_undelivered: false,
             protocol_error: None,
+            deferred: DeferredMessages::default(),
         }
     }
 
-    /// Returns whether the client has no open request and its machine has acknowledged all output. To its
+    /// Returns whether the client has no request and its machine has acknowledged all output. To its
     /// client, a request is open until its response was read, and a close could discard what this system has
     /// not delivered.
     pub(super) fn is_idle(&self) -> bool {
-        self.open_streams.is_empty() && self.conn.undelivered() == 0
+        self.open_streams.is_empty() && self.deferred.is_empty() && self.conn.undelivered() == 0
     }
 
     /// Looks at what the client's machine has acknowledged. The connection counts as used until all output was
@@ -160,13 +164,12 @@
         self.open_streams.remove(&stream)
     }
 
-    /// Validates the messages of one turn before any of them is handled, and drops requests that were
-    /// cancelled in the same turn or in `unread` input. Requests that no client waits for, or that are
-    /// invalid, must not reach the endpoints.
+    /// Validates messages that were read together before any of them is handled, and drops requests that are
+    /// cancelled among them. Requests that no client waits for, or that are invalid, must not reach the
+    /// endpoints.
     fn validate(
         &mut self,
         messages: Vec<ClientMessage>,
-        unread: &[u8],
         check_request: impl Fn(&ClientRequest) -> Result<(), Malformed>,
     ) -> ValidatedMessages {
         let mut valid = ValidatedMessages::default();
@@ -200,21 +203,9 @@
                 break;
             }
         }
-        for stream in frames::cancelled_streams(unread) {
-            if streams.begun.contains_key(&stream) {
-                self.record_cancel(stream, &mut streams, &mut valid.messages);
-            }
-        }
         valid
     }
 
-    /// Returns the input that this turn leaves unread, if it has brought requests.
-    fn unread_after(&mut self, messages: &[ClientMessage]) -> Vec<u8> {
-        let is_request = |message: &ClientMessage| matches!(message, ClientMessage::Request { .. });
-        let needs_look = self.conn.needs_read() && messages.iter().any(is_request);
-        needs_look.then(|| self.conn.peek_unread()).flatten().unwrap_or_default()
-    }
-
     /// Counts a cancellation, and drops its request if that came in the same turn. All such requests of one
     /// turn count as one, because they cost nothing but reading, and many arrive at once after the process
     /// was stopped for a while.
@@ -355,6 +346,11 @@
         self.by_token.iter().filter(|(_, client)| is_selected(client)).map(|(token, _)| *token).collect()
     }
 
+    /// Returns the total size of the bodies of all deferred requests, in bytes.
+    fn deferred_bytes(&self) -> usize {
+        self.by_token.values().map(|client| client.deferred.bytes()).sum()
+    }
+
     /// Returns the number of connections that are closing.
     pub(super) fn ending(&self) -> usize {
         self.by_token.values().filter(|client| client.conn.is_ending()).count()
@@ -494,8 +490,12 @@
         if has_disconnected {
             return self.drop_client(token);
         }
-        let unread = client.unread_after(&received.messages);
-        let valid = client.validate(received.messages, &unread, |request| {
+        if received.error.is_none() && self.defers_messages(token, &received.messages) {
+            return self.defer_messages(token, received.messages);
+        }
+        let Some(client) = self.clients.get_mut(&token) else { return };
+        let messages = client.deferred.take_with(received.messages);
+        let valid = client.validate(messages, |request| {
             let class_lookup = self.classes.find(self.now, &request.route);
             let may_lack_key = self.classes.recently_allowed_no_key(self.now, &request.route);
             check_request(request, &self.settings, class_lookup, may_lack_key)
@@ -522,6 +522,22 @@
         message_count(self) != before
     }
 
+    /// Returns whether messages wait for the rest of the input: the cancellation of a request among them may
+    /// be unread, or may still be on its way because the receive buffer was full.
+    fn defers_messages(&self, token: Token, received: &[ClientMessage]) -> bool {
+        let Some(client) = self.clients.get(&token) else { return false };
+        let max_bytes = self.bounds.request_bodies.saturating_sub(self.clients.deferred_bytes());
+        client.conn.needs_read() && client.deferred.may_grow(received, max_bytes)
+    }
+
+    fn defer_messages(&mut self, token: Token, received: Vec<ClientMessage>) {
+        let Some(client) = self.clients.get_mut(&token) else { return };
+        client.deferred.extend(received);
+        if !self.unfinished_reads.contains(&token) {
+            self.unfinished_reads.push(token);
+        }
+    }
+
     fn handle_messages(&mut self, token: Token, messages: Vec<ClientMessage>) {
         for message in messages {
             self.handle_message(token, message);
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -11,6 +11,7 @@
 mod clients;
 mod command_channel;
 mod configuration;
+mod deferred_messages;
 mod discovery;
 mod draining;
 mod failover;
--- a/src/proxy/tests/pauses.rs
+++ b/src/proxy/tests/pauses.rs
@@ -59,21 +59,28 @@
 #[test]
 fn requests_whose_cancellations_are_left_for_a_later_turn_reach_no_endpoint() {
     const EDITS: u32 = 5;
-    let mut harness = Harness::new();
-    let mut client = harness.connect_client();
-    harness.enlarge_client_buffer();
-    for stream in 1..=EDITS {
-        client.write(&large_edit(stream, stream));
-    }
-    for stream in 1..=EDITS {
-        client.write(&frame(9, stream, &[]));
+    // The cancellations lie in the receive buffer, or still in the client's send buffer.
+    for are_received in [true, false] {
+        let mut harness = Harness::new();
+        let mut client = harness.connect_client();
+        sockopt::set_socket_send_buffer_size(&client.stream, 400_000).unwrap();
+        harness.wait_until("the client", |proxy| (proxy.clients.len() == 1).then_some(()));
+        if are_received {
+            harness.enlarge_client_buffer();
+        }
+        for stream in 1..=EDITS {
+            client.write(&large_edit(stream, stream));
+        }
+        for stream in 1..=EDITS {
+            client.write(&frame(9, stream, &[]));
+        }
+        client.write(&request(EDITS + 1, EDITS + 1, "clip"));
+        harness.await_client_input();
+        let mut cache = harness.accept_cache();
+        assert_eq!(harness.read_command(&mut cache)[1], request_id(EDITS + 1));
+        assert_eq!(harness.proxy.metrics.attempts, 1, "the only attempt is that of the last request");
+        assert_eq!(harness.proxy.requests.len(), 1);
     }
-    client.write(&request(EDITS + 1, EDITS + 1, "clip"));
-    harness.await_client_input();
-    let mut cache = harness.accept_cache();
-    assert_eq!(harness.read_command(&mut cache)[1], request_id(EDITS + 1));
-    assert_eq!(harness.proxy.metrics.attempts, 1, "the only attempt is that of the last request");
-    assert_eq!(harness.proxy.requests.len(), 1);
 }
 
 /// Guards against an attempt to an endpoint whose drain was announced while the process was suspended.
