--- a/src/routing/request.rs
+++ b/src/routing/request.rs
@@ -103,7 +103,8 @@
         self.repeat_policy.is_some_and(|policy| policy.allows_target(now, &first, target))
     }
 
-    /// Returns whether a miss of the request may be filled from an endpoint; true if it cannot have run before.
+    /// Returns whether a miss of the request may be filled from an endpoint; true if it cannot have run
+    /// before.
     pub(super) fn may_be_filled_from(&self, now: Micros, source: Location) -> bool {
         let Some(first) = self.first_execution else { return true };
         self.repeat_policy.is_some_and(|policy| policy.allows_source(now, &first, source))
--- a/src/routing/retry.rs
+++ b/src/routing/retry.rs
@@ -81,8 +81,8 @@
         pending.may_be_sent_to(self.now, self.location(index))
     }
 
-    /// Returns whether a miss of a request may be filled from an endpoint; true if the request cannot have run
-    /// before.
+    /// Returns whether a miss of a request may be filled from an endpoint; true if the request cannot have
+    /// run before.
     pub(super) fn may_be_source(&self, pending: &PendingRequest, index: EndpointIndex) -> bool {
         pending.may_be_filled_from(self.now, self.location(index))
     }
