--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -8,6 +8,7 @@
 mod admin;
 mod attempts;
 mod client_admission;
+mod client_table;
 mod clients;
 mod command_channel;
 mod configuration;
@@ -40,7 +41,7 @@
 
 use self::admin::AdminServer;
 use self::client_admission::ClientListener;
-use self::clients::Clients;
+use self::client_table::Clients;
 use self::configuration::Configuration;
 use self::discovery::Discovery;
 use self::housekeeping::SWEEP_INTERVAL;
--- a/src/proxy/start.rs
+++ b/src/proxy/start.rs
@@ -3,7 +3,7 @@
 
 use super::admin::AdminServer;
 use super::client_admission::ClientListener;
-use super::clients::Clients;
+use super::client_table::Clients;
 use super::configuration::Configuration;
 use super::discovery::Discovery;
 use super::metrics::Metrics;
