A client that stands still keeps its connection while its requests are open

Cause: since delivery is judged by acknowledgements, DELIVERY_STALL_TIMEOUT also ended connections with open requests of which nothing was left to write; a client that stands still for 8 s lost them. Before, only output in the proxy's own buffer did that. Change: as before where there is such output; else the connection is dropped once its requests have ended, by their deadlines.

--- a/src/proxy/client_table.rs
+++ b/src/proxy/client_table.rs
@@ -152,7 +152,10 @@
     pub(super) fn expired(&self, now: Micros, lifecycle: &Lifecycle, max_buffered: usize) -> ExpiredClients {
         let since = |moment: Micros| now.saturating_sub(moment);
         let is_stalled = |client: &Client| {
-            client.is_delivery_stalled(now, DELIVERY_STALL_TIMEOUT) || client.is_close_overdue(now)
+            // Open requests end by their deadlines. Until then only output that this process buffers matters.
+            let may_drop = client.open_streams.is_empty() || client.conn.backlog() > 0;
+            let is_not_reading = client.is_delivery_stalled(now, DELIVERY_STALL_TIMEOUT);
+            may_drop && is_not_reading || client.is_close_overdue(now)
         };
         let is_idle = |client: &Client| {
             let idle_time = since(client.last_used);
--- a/src/proxy/tests/delivery.rs
+++ b/src/proxy/tests/delivery.rs
@@ -172,6 +172,21 @@
     assert!(!reader.is_connected());
 }
 
+/// Guards against the loss of open requests of a client that stands still for a while: with nothing left to write, only
+/// connections without open requests are dropped for not reading.
+#[test]
+fn a_stalled_client_keeps_its_connection_while_its_requests_are_open() {
+    let mut reader = SlowReader::new();
+    reader.client.write(&request(2, 2, "clip"));
+    assert_eq!(reader.read_command_at_cache()[1], request_id(2));
+    reader.harness.proxy.now += DELIVERY_STALL_TIMEOUT;
+    reader.harness.proxy.sweep();
+    assert!(reader.is_open());
+    reader.cache.write(&response(&request_id(2), "ok", "-", "y"));
+    reader.read_response();
+    assert_eq!(reader.harness.read_frame(&mut reader.client), (8, 2, b"\x14\x00y".to_vec()));
+}
+
 /// Guards against the loss of undelivered output in standby, where connections close after 0.1 s without work.
 #[test]
 fn standby_closes_a_connection_only_after_its_output_is_delivered() {
