--- a/review/standin-2/channel.rs
+++ b/review/standin-2/channel.rs
@@ -63,15 +63,22 @@
 pub struct Channel {
     pub address: SocketAddr,
     state: Arc<(Mutex<State>, Condvar)>,
+    /// Time from a doorman's first bytes to the first frame.
+    first_frame_after: Duration,
     record: Record,
 }
 
 impl Channel {
-    /// Starts a channel whose next event has the number `first`.
-    pub fn start(first: u64, record: &Record) -> Res<Channel> {
+    /// Starts a channel whose next event has the number `first`, and which is slow to begin on each connection.
+    pub fn start(first: u64, first_frame_after_ms: u64, record: &Record) -> Res<Channel> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let state = Arc::new((Mutex::new(State { events: Vec::new(), first }), Condvar::new()));
-        let channel = Channel { address: listener.local_addr()?, state, record: record.clone() };
+        let channel = Channel {
+            address: listener.local_addr()?,
+            state,
+            first_frame_after: Duration::from_millis(first_frame_after_ms),
+            record: record.clone(),
+        };
         let serving = channel.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -110,6 +117,7 @@
         }
         let mut last = u64::from_be_bytes(cursor);
         self.record.line(&format!("channel connected cursor={last}"));
+        std::thread::sleep(self.first_frame_after);
         let mut next_beat = Instant::now();
         loop {
             let (events, number) = self.after(last, next_beat);
--- a/review/standin-2/depot.rs
+++ b/review/standin-2/depot.rs
@@ -3,7 +3,7 @@
 
 use crate::base::{unix_ms, Record, Res};
 use std::collections::HashSet;
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 
--- a/review/standin-2/doorman.rs
+++ b/review/standin-2/doorman.rs
@@ -8,6 +8,7 @@
 use std::process::{Child, Command};
 use std::sync::Mutex;
 
+pub const SIGHUP: i32 = 1;
 pub const SIGKILL: i32 = 9;
 const READY_WITHIN_MS: u64 = 30_000;
 
@@ -22,7 +23,9 @@
 pub fn end_all() {
     let started = STARTED.lock().map(|processes| processes.clone()).unwrap_or_default();
     // SAFETY: `kill` takes two numbers; the processes are children that were not waited for.
-    started.into_iter().for_each(|process| drop(unsafe { kill(process as i32, SIGKILL) }));
+    for process in started {
+        unsafe { kill(process as i32, SIGKILL) };
+    }
 }
 
 /// Returns an address on which nothing listens.
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -8,7 +8,9 @@
 mod doorman;
 mod judge;
 mod leavers;
+mod new_class;
 mod site;
+mod slow_discovery;
 mod slow_readers;
 mod unfinished;
 
@@ -23,6 +25,8 @@
         "slow-readers" => slow_readers::run(&record, trouble),
         "leavers" => leavers::run(&record, trouble),
         "unfinished" => unfinished::run(&record, trouble),
+        "slow-discovery" => slow_discovery::run(&record, trouble),
+        "new-class" => new_class::run(&record, trouble),
         _ => Err(format!("no case '{case}'").into()),
     }
 }
--- a/review/standin-2/site.rs
+++ b/review/standin-2/site.rs
@@ -30,11 +30,20 @@
     pub management: Option<SocketAddr>,
     /// Rate of the doorman's own copies (bytes a second): of one transfer, of all; 0: none are kept.
     pub own_copies: (u32, u32),
+    /// Whether the settings have the class `record-edits`.
+    pub record_edits: bool,
 }
 
 impl Default for Options {
     fn default() -> Self {
-        Options { memory_mb: 192, sockets: 1024, caches: 2, management: None, own_copies: (0, 0) }
+        Options {
+            memory_mb: 192,
+            sockets: 1024,
+            caches: 2,
+            management: None,
+            own_copies: (0, 0),
+            record_edits: true,
+        }
     }
 }
 
@@ -51,7 +60,7 @@
             entries.push(Entry { id, address, state: Listed::Ready, zone, kind, weight: 60, started_ms: 0 });
             depots.push(depot);
         }
-        Ok(Site { depots, entries, channel: Channel::start(2, record)? })
+        Ok(Site { depots, entries, channel: Channel::start(2, 0, record)? })
     }
 
     /// Writes the doorman's configuration.
@@ -81,16 +90,32 @@
 "known":{{"cursor":1,"cmds":[{{"cursor":1,"nodes":{{"generation":1,"reset":true,"instances":[{}]}}}}]}},
 "settings":{{"balancers":1,"zone":1,"slot-no":0,"discovery":"push","weight-source":"rough",
 "failure-domains":["hub","branch"],"kinds":["small-box","parent","origin"],
-"classes":[
-{{"name":"clip-parts","promise-us":400000,"aim-stretch":1.6,"deadline-us":6000000,"semantics":"idempotent","dedup-scope":"all","window-us":5000000,"worth":2.0,"late-worth":0.15}},
-{{"name":"images","promise-us":250000,"aim-stretch":2.0,"deadline-us":2500000,"semantics":"idempotent","dedup-scope":"all","window-us":5000000,"worth":1.0,"late-worth":0.2}},
-{{"name":"record-edits","promise-us":600000,"aim-stretch":1.0,"deadline-us":3000000,"semantics":"deduplicated","dedup-scope":"all","window-us":6000000,"worth":3.0,"late-worth":0.0}}],
-"domain":{{"can-join":false,"crew-by-zone":[0,1],"detail":"hit","direct":true,"flow-kb-per-s":8500.0,"inlet-kb-per-s":[0.0,0.0],"lateral":"location","max-age-us":[0,12000000,0],"stale-for-us":[0,10000000,0],"pass-on":[false,false,true],"parent-breaks-at":2.0,"parent-cold-from":0.079,"parent-ramp-us":20000000,"purge-done-us":6000000,"purge-slack-us":500000,"source-kind":2,"upper-kind":1}},
+{classes}
 "limits":{{"conn-idle-us":15000000,"dial-timeout-us":400000,"max-attempts":6,"max-open":20000,"may-cancel":true,"may-tell":false,"multiplex":32,"probes":true,"retry-after":true,"max-retry-after-us":2000000,"second-copies":false}},
 "rules":{{"answer-slack-us":8000,"drain-grace-us":1000000,"fall-us":1000000,"start-capacity":0.19,"tip-multiple":3.0,"warm-within-us":15000000}}}}}}
 "#,
             self.channel.address,
-            instances.join(",")
+            instances.join(","),
+            classes = class_settings(options.record_edits),
+        )
+    }
+}
+
+/// The classes, and what `domain` says by class. `record-edits` has no `aim-stretch`: "the key may be absent".
+fn class_settings(record_edits: bool) -> String {
+    let clip_parts = r#"{"name":"clip-parts","promise-us":400000,"aim-stretch":1.6,"deadline-us":6000000,"semantics":"idempotent","dedup-scope":"all","window-us":5000000,"worth":2.0,"late-worth":0.15,"stream":false}"#;
+    let images = r#"{"name":"images","promise-us":250000,"aim-stretch":2.0,"deadline-us":2500000,"semantics":"idempotent","dedup-scope":"all","window-us":5000000,"worth":1.0,"late-worth":0.2,"stream":false}"#;
+    let edits = r#"{"name":"record-edits","promise-us":600000,"deadline-us":3000000,"semantics":"deduplicated","dedup-scope":"all","window-us":6000000,"worth":3.0,"late-worth":0.0,"stream":false}"#;
+    let rest = r#""can-join":false,"crew-by-zone":[0,1],"detail":"hit","direct":true,"flow-kb-per-s":8500.0,"inlet-kb-per-s":[0.0,0.0],"lateral":"location","parent-breaks-at":2.0,"parent-cold-from":0.079,"parent-ramp-us":20000000,"purge-done-us":6000000,"purge-slack-us":500000,"source-kind":2,"upper-kind":1"#;
+    if record_edits {
+        format!(
+            r#""classes":[{clip_parts},{images},{edits}],
+"domain":{{{rest},"max-age-us":[0,12000000,0],"stale-for-us":[0,10000000,0],"pass-on":[false,false,true]}},"#
+        )
+    } else {
+        format!(
+            r#""classes":[{clip_parts},{images}],
+"domain":{{{rest},"max-age-us":[0,12000000],"stale-for-us":[0,10000000],"pass-on":[false,false]}},"#
         )
     }
 }
