--- a/review/standin-2/leavers.rs
+++ b/review/standin-2/leavers.rs
@@ -1,7 +1,7 @@
 //! A hundred clients. One of them gives up early on two of its three requests, one at a time, and waits for the others.
 
 use crate::base::{sleep_ms, sleep_until, unix_ms, Record, Res, BROKEN, HELD};
-use crate::client::{Ask, Client, Reading};
+use crate::client::{Ask, Client};
 use crate::depot::{good, Behaviour};
 use crate::doorman::{free_address, Doorman, Folder};
 use crate::judge::judge;
@@ -66,12 +66,12 @@
     let until_ms = unix_ms() + ROUNDS * ROUND_MS;
     let mut clients = Vec::new();
     for number in 0..STEADY_CLIENTS {
-        let client = Client::connect(&format!("steady{number}"), listen, Reading::Full, record)?;
+        let client = Client::connect(&format!("steady{number}"), listen, record)?;
         let asking = client.clone();
         std::thread::spawn(move || ask_steadily(&asking, number, until_ms));
         clients.push(client);
     }
-    let leaver = Client::connect("leaver", listen, Reading::Full, record)?;
+    let leaver = Client::connect("leaver", listen, record)?;
     ask_and_leave(&leaver, trouble);
     clients.push(leaver);
     let until = unix_ms() + PATIENCE_MS + 1_000;
--- a/review/standin-2/slow_discovery.rs
+++ b/review/standin-2/slow_discovery.rs
@@ -2,7 +2,7 @@
 
 use crate::base::{sleep_ms, unix_ms, Record, Res, BROKEN, HELD};
 use crate::channel::Channel;
-use crate::client::{Ask, Client, Reading};
+use crate::client::{Ask, Client};
 use crate::depot::{Behaviour, Reply, Want};
 use crate::doorman::{free_address, Doorman, Folder, SIGHUP};
 use crate::judge::judge;
@@ -71,7 +71,7 @@
     site.write_config(&folder.0, listen, &options)?;
     let mut doorman = Doorman::start(listen, &folder.0, "doorman.log", &[], record)?;
     doorman.wait_ready()?;
-    let client = Client::connect("c0", listen, Reading::Full, record)?;
+    let client = Client::connect("c0", listen, record)?;
     let begun = unix_ms();
     let mut moved_ms = 0;
     while unix_ms() < begun + RUN_MS {
--- a/review/standin-2/unfinished.rs
+++ b/review/standin-2/unfinished.rs
@@ -1,7 +1,7 @@
 //! Hundreds of clients whose message never ends, beside usual clients; a platform that kills a doorman over its memory.
 
 use crate::base::{sleep_ms, unix_ms, Record, Res, BROKEN, HELD};
-use crate::client::{Ask, Client, Reading};
+use crate::client::{Ask, Client};
 use crate::depot::{good, Behaviour};
 use crate::doorman::{free_address, Doorman, Folder, SIGKILL};
 use crate::judge::judge;
@@ -90,7 +90,7 @@
     let until_ms = unix_ms() + RUN_MS;
     let mut clients = Vec::new();
     for number in 0..USUAL_CLIENTS {
-        let client = Client::connect(&format!("usual{number}"), listen, Reading::Full, record)?;
+        let client = Client::connect(&format!("usual{number}"), listen, record)?;
         let asking = client.clone();
         std::thread::spawn(move || ask_steadily(&asking, number, until_ms));
         clients.push(client);
