--- a/review/standin-2/doorman.rs
+++ b/review/standin-2/doorman.rs
@@ -3,7 +3,7 @@
 use crate::base::{sleep_ms, unix_ms, Record, Res};
 use crate::client::{Client, SERVED};
 use std::fs::File;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command};
 use std::sync::Mutex;
@@ -28,9 +28,12 @@
     }
 }
 
-/// Returns an address on which nothing listens.
+/// Returns an address on which nothing listens. It is on a loopback address of this run's own: on a common one, another
+/// program could take the port between this call and the start of the doorman.
 pub fn free_address() -> Res<SocketAddr> {
-    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?)
+    let [high, middle, low, _] = std::process::id().rotate_left(8).to_be_bytes();
+    let own = Ipv4Addr::new(127, 1 | high, middle, low.max(1));
+    Ok(TcpListener::bind((own, 0))?.local_addr()?)
 }
 
 /// Returns the `run` command of the deploy file.
