Review case 8: a request that takes longer shows how many are swallowed

Cause: the input is discarded until the last open request is answered; with short requests only that hid how much is lost.

--- a/review/standin-2/leavers.rs
+++ b/review/standin-2/leavers.rs
@@ -9,8 +9,12 @@
 use std::sync::Arc;
 
 const PART_BYTES: usize = 20_000;
-/// Time that a depot takes for one part.
+/// Time that a depot takes for one part ...
 const DEPOT_MS: u64 = 300;
+/// ... and for one that it has to fetch first. The client under observation waits for such a part in one round of this many.
+const FETCH_MS: u64 = 1_500;
+const FETCHED_EACH: u64 = 5;
+const FETCHED_OBJECT: u64 = 0x7f3a_0002;
 const PATIENCE_MS: u64 = 6_000;
 const SIZE_KB: f64 = 600.0;
 /// Clients that wait for all their answers; each asks once in this time.
@@ -23,12 +27,14 @@
 const LEAVES_A_ROUND: u64 = 2;
 const ROUNDS: u64 = 150;
 
-/// Plays the client under observation: one connection, at most four requests open.
+/// Plays the client under observation: one connection, at most six requests open.
 fn ask_and_leave(client: &Client, trouble: bool) {
     for round in 0..ROUNDS {
         let begun = unix_ms();
         let part = |number| Ask::of("clip-parts", 0x7f3a_0001, number, PATIENCE_MS, SIZE_KB);
-        if client.has_ended() || client.ask(&part(10 * round)).is_err() {
+        let fetched = Ask::of("clip-parts", FETCHED_OBJECT, round, PATIENCE_MS, SIZE_KB);
+        let waited_for = if round % FETCHED_EACH == 0 { fetched } else { part(10 * round) };
+        if client.has_ended() || client.ask(&waited_for).is_err() {
             return;
         }
         for step in 1..=LEAVES_A_ROUND {
@@ -55,7 +61,11 @@
 }
 
 pub fn run(record: &Record, trouble: bool) -> Res<i32> {
-    let behaviour: Behaviour = Arc::new(|want| Some(good(DEPOT_MS, want, PART_BYTES)));
+    let fetched = format!("{FETCHED_OBJECT:016x}");
+    let behaviour: Behaviour = Arc::new(move |want| {
+        let is_fetched = want.field("k") == Some(fetched.as_str());
+        Some(good(if is_fetched { FETCH_MS } else { DEPOT_MS }, want, PART_BYTES))
+    });
     let options = Options::default();
     let folder = Folder::create("review-leavers")?;
     let site = Site::start(&options, &behaviour, record)?;
