Review case 8: an edit begun before its class became keyed is read and gets no answer

Cause: the old form of a request is allowed for 1.5 s after SIGHUP, counted to when it is read whole; a client that takes 2 s to write is taken for one that breaks the protocol.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -4,4 +4,4 @@
 for program in target/release/larchdale target/review-2/standin; do
     [ -x "$program" ] || { echo "not built: $program" >&2; exit 2; }
 done
-exec target/review-2/standin leavers "review/8"
+exec target/review-2/standin effect-change "review/8"
--- a/review/standin-2/client.rs
+++ b/review/standin-2/client.rs
@@ -6,6 +6,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 const REQUEST: u8 = 7;
 const ANSWER: u8 = 8;
@@ -94,15 +95,39 @@
         let trace = new_trace();
         let frame = encode_request(stream, &trace, ask);
         self.stream.lock().map_err(|_| "lock")?.write_all(&frame)?;
-        let at_ms = unix_ms();
-        let sent = Sent { trace: trace.clone(), at_ms, patience_ms: ask.patience_ms, cancelled_ms: None };
-        seen.sent.insert(stream, sent);
-        let (name, route, patience_ms) = (&self.name, ask.route, ask.patience_ms);
+        self.note_sent(&mut seen, stream, trace, ask);
+        Ok(stream)
+    }
+
+    /// Sends a request on a new stream in pieces, evenly over a time, and returns the stream. Nothing else may be sent on
+    /// this connection meanwhile.
+    pub fn ask_slowly(&self, ask: &Ask, pieces: u32, over: Duration) -> Res<u32> {
+        let stream = self.next_stream()?;
+        let trace = new_trace();
+        let frame = encode_request(stream, &trace, ask);
+        for (number, piece) in frame.chunks(frame.len().div_ceil(pieces as usize)).enumerate() {
+            if number > 0 {
+                std::thread::sleep(over / (pieces - 1));
+            }
+            self.stream.lock().map_err(|_| "lock")?.write_all(piece)?;
+        }
+        let mut seen = self.seen.lock().map_err(|_| "lock")?;
+        self.note_sent(&mut seen, stream, trace, ask);
+        Ok(stream)
+    }
+
+    fn next_stream(&self) -> Res<u32> {
+        let seen = self.seen.lock().map_err(|_| "lock")?;
+        Ok(seen.sent.keys().next_back().copied().unwrap_or(0) + 1)
+    }
+
+    fn note_sent(&self, seen: &mut Seen, stream: u32, trace: String, ask: &Ask) {
+        let (name, route, patience_ms, part) = (&self.name, ask.route, ask.patience_ms, ask.part);
         self.record.line(&format!(
-            "sent client={name} stream={stream} id={trace} route={route} object={:016x} part={} patience={patience_ms}",
-            ask.object, ask.part
+            "sent client={name} stream={stream} id={trace} route={route} object={:016x} part={part} patience={patience_ms}",
+            ask.object
         ));
-        Ok(stream)
+        seen.sent.insert(stream, Sent { trace, at_ms: unix_ms(), patience_ms, cancelled_ms: None });
     }
 
     /// Stops waiting for a request: type 9.
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -6,6 +6,7 @@
 mod client;
 mod depot;
 mod doorman;
+mod effect_change;
 mod judge;
 mod leavers;
 mod site;
@@ -23,6 +24,7 @@
         "leavers" => leavers::run(&record, trouble),
         "unfinished" => unfinished::run(&record, trouble),
         "slow-discovery" => slow_discovery::run(&record, trouble),
+        "effect-change" => effect_change::run(&record, trouble),
         _ => Err(format!("no case '{case}'").into()),
     }
 }
--- a/review/standin-2/site.rs
+++ b/review/standin-2/site.rs
@@ -29,11 +29,20 @@
     pub management: Option<SocketAddr>,
     /// Rate of the doorman's own copies (bytes a second): of one transfer, of all; 0: none are kept.
     pub own_copies: (u32, u32),
+    /// Effect of the class `record-edits`.
+    pub edits: &'static str,
 }
 
 impl Default for Options {
     fn default() -> Self {
-        Options { memory_mb: 192, sockets: 1024, caches: 2, management: None, own_copies: (0, 0) }
+        Options {
+            memory_mb: 192,
+            sockets: 1024,
+            caches: 2,
+            management: None,
+            own_copies: (0, 0),
+            edits: "deduplicated",
+        }
     }
 }
 
@@ -85,19 +94,19 @@
 "#,
             self.channel.address,
             instances.join(","),
-            classes = class_settings(),
+            classes = class_settings(options.edits),
         )
     }
 }
 
 /// The classes, and what `domain` says by class.
-fn class_settings() -> String {
+fn class_settings(semantics: &str) -> String {
     let clip_parts = r#"{"name":"clip-parts","promise-us":400000,"aim-stretch":1.6,"deadline-us":6000000,"semantics":"idempotent","dedup-scope":"all","window-us":5000000,"worth":2.0,"late-worth":0.15,"stream":false}"#;
     let images = r#"{"name":"images","promise-us":250000,"aim-stretch":2.0,"deadline-us":2500000,"semantics":"idempotent","dedup-scope":"all","window-us":5000000,"worth":1.0,"late-worth":0.2,"stream":false}"#;
-    let edits = r#"{"name":"record-edits","promise-us":600000,"deadline-us":3000000,"semantics":"deduplicated","dedup-scope":"all","window-us":6000000,"worth":3.0,"late-worth":0.0,"stream":false}"#;
+    let edits = r#"{"name":"record-edits","promise-us":600000,"deadline-us":3000000,"dedup-scope":"all","window-us":6000000,"worth":3.0,"late-worth":0.0,"stream":false,"semantics":"#;
     let rest = r#""can-join":false,"crew-by-zone":[0,1],"detail":"hit","direct":true,"flow-kb-per-s":8500.0,"inlet-kb-per-s":[0.0,0.0],"lateral":"location","parent-breaks-at":2.0,"parent-cold-from":0.079,"parent-ramp-us":20000000,"purge-done-us":6000000,"purge-slack-us":500000,"source-kind":2,"upper-kind":1"#;
     format!(
-        r#""classes":[{clip_parts},{images},{edits}],
+        r#""classes":[{clip_parts},{images},{edits}"{semantics}"}}],
 "domain":{{{rest},"max-age-us":[0,12000000,0],"stale-for-us":[0,10000000,0],"pass-on":[false,false,true]}},"#
     )
 }
