--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the second review (review/6 to review/8): the standard library only, no network, no package.
+# Builds the stand-ins of the second review (review/6 to review/9): the standard library only, no network, no package.
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
