Memory that peers make the process hold is counted as it is taken, under one budget

Change: one budget (net/memory.rs, three eighths of the memory). Each connection, deferred message and active request holds a reservation that grows as the memory is taken. Its uses have shares: partial messages go first (their content is discarded as it arrives and the request is rejected once whole, so nothing read is left without an answer), then requests are refused, then upstreams are not read; a response that has begun is counted whole and read to its end. Clients that leave output unread are not read while memory is short. Small output shares buffers. The input of clients is handled up to an amount of work a turn, by messages as well as bytes, with those first whose input was read through.

--- a/src/net/bounds.rs
+++ b/src/net/bounds.rs
@@ -20,10 +20,8 @@
 const CLOSING_DIVISOR: usize = 8;
 /// Maximum number of connections reserved for those that were finished but are not closed yet.
 const MAX_CLOSING: usize = 16;
-/// Divisor of the memory for the read and write buffers of client connections.
-const CLIENT_BUFFERS_DIVISOR: usize = 4;
-/// Divisor of the memory for request bodies.
-const BODIES_DIVISOR: usize = 8;
+/// Share of the memory, in eighths, for what peers make the process hold; see [`super::memory`].
+const BUFFERS_EIGHTHS: usize = 3;
 /// Divisor of the memory for the local cache.
 const LOCAL_CACHE_DIVISOR: usize = 8;
 /// Minimum number of client connections and of upstream connections; fewer are of no use.
@@ -41,10 +39,8 @@
     pub closing: usize,
     /// Maximum number of upstream connections.
     pub upstream: usize,
-    /// Maximum number of bytes buffered for all client connections; beyond it, the connection with the most is dropped.
-    pub client_buffers: usize,
-    /// Maximum number of body bytes of all active requests; beyond it, requests are rejected.
-    pub request_bodies: usize,
+    /// Budget in bytes for all messages, requests and responses that are held for peers.
+    pub buffers: usize,
     /// Maximum number of bytes in the local cache; beyond it, the least used entries are evicted.
     pub local_cache: usize,
 }
@@ -67,8 +63,7 @@
             silent_clients: (clients / SILENT_DIVISOR).max(MIN_CONNECTIONS),
             closing,
             upstream,
-            client_buffers: memory / CLIENT_BUFFERS_DIVISOR,
-            request_bodies: memory / BODIES_DIVISOR,
+            buffers: memory / 8 * BUFFERS_EIGHTHS,
             local_cache: memory / LOCAL_CACHE_DIVISOR,
         }
     }
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -18,6 +18,7 @@
 mod tests;
 
 use super::delivery::Delivery;
+use super::memory::{MemoryBudget, Reservation};
 use super::tcp_info;
 use crate::invariant;
 use crate::routing::events::Micros;
@@ -30,7 +31,14 @@
 /// Size of the read buffer in bytes.
 const READ_CHUNK_BYTES: usize = 16 * 1024;
 /// Maximum number of bytes read in one iteration of the event loop, so that other connections get their share.
-const MAX_BYTES_PER_TURN: usize = 128 * 1024;
+pub const MAX_BYTES_PER_TURN: usize = 128 * 1024;
+/// Queued messages up to this size, in bytes, are written from a common buffer of at most this size, so that many small
+/// ones cost no allocation each.
+const SHARED_BUFFER_BYTES: usize = 8 * 1024;
+/// Maximum number of places that an empty outbox keeps.
+const MAX_IDLE_OUTBOX_CAPACITY: usize = 64;
+/// Divisor of a receive buffer's content for the spare room with which the buffer grows.
+const SPARE_ROOM_DIVISOR: usize = 4;
 /// Maximum number of unread bytes that are peeked at: more than all requests that a client may have open.
 const MAX_PEEK_BYTES: usize = 2 << 20;
 /// Maximum number of bytes discarded from a peer that keeps sending after the connection was finished or its input was
@@ -101,6 +109,11 @@
     /// # Errors
     /// Returns how the bytes violate the protocol; further input is then discarded.
     fn received(&mut self, bytes: &mut BytesMut) -> Result<(), super::protocol::Malformed>;
+
+    /// Whether more bytes may be read in this iteration of the event loop.
+    fn accepts_more(&self) -> bool {
+        true
+    }
 }
 
 /// The states of a connection.
@@ -126,6 +139,10 @@
     state: State,
     inbox: BytesMut,
     outbox: VecDeque<Vec<u8>>,
+    /// Total capacity of the buffers in the outbox, in bytes.
+    outbox_capacity: usize,
+    /// Memory of the inbox and the outbox.
+    memory: Reservation,
     /// Number of written bytes of the first buffer in the outbox.
     front_written: usize,
     queued: u64,
@@ -133,6 +150,10 @@
     /// Whether the socket may hold unread bytes.
     may_have_input: bool,
     paused: bool,
+    /// Whether messages were removed from the front of the inbox since its buffer was last replaced.
+    has_removed_messages: bool,
+    /// Length of the partially received message, if the owner knows it, or 0.
+    expected_length: usize,
     /// Number of discarded bytes.
     discarded: usize,
     /// Whether the peer closed its writing side while input was discarded.
@@ -158,17 +179,47 @@
             state,
             inbox: BytesMut::new(),
             outbox: VecDeque::new(),
+            outbox_capacity: 0,
+            memory: Reservation::default(),
             front_written: 0,
             queued: 0,
             delivery: Delivery::new(now),
             may_have_input: false,
             paused: false,
+            has_removed_messages: false,
+            expected_length: 0,
             discarded: 0,
             peer_closed: false,
             last_received: now,
         }
     }
 
+    /// Counts the memory of this connection's buffers in a budget from now on.
+    pub fn count_memory_in(&mut self, budget: &MemoryBudget) {
+        self.memory = budget.reserve(0);
+        self.update_memory();
+    }
+
+    /// Counts the partially received message with `length` bytes in all, or with what has arrived if that is more.
+    pub fn expect_message(&mut self, length: usize) {
+        self.expected_length = length;
+        self.update_memory();
+    }
+
+    /// Whether the partially received message is counted with its whole length.
+    pub fn expects_message(&self) -> bool {
+        self.expected_length > 0
+    }
+
+    /// Whether reading is paused.
+    pub fn is_paused(&self) -> bool {
+        self.paused
+    }
+
+    fn update_memory(&mut self) {
+        self.memory.resize(self.inbox.capacity().max(self.expected_length) + self.outbox_capacity);
+    }
+
     /// Returns the state.
     pub fn state(&self) -> State {
         self.state
@@ -249,6 +300,18 @@
         !self.inbox.is_empty()
     }
 
+    /// Returns the bytes of a partially received message.
+    pub fn partial_message(&self) -> &[u8] {
+        &self.inbox
+    }
+
+    /// Gives up the bytes of a partially received message; its owner handles the rest as it arrives.
+    pub fn release_partial_message(&mut self) {
+        self.inbox = BytesMut::new();
+        self.expected_length = 0;
+        self.update_memory();
+    }
+
     /// Pauses or resumes reading. A pause prevents a peer that sends requests without reading from making this process
     /// buffer responses for it.
     pub fn pause(&mut self, paused: bool) {
@@ -295,7 +358,7 @@
         let mut allowance = MAX_BYTES_PER_TURN;
         // The read buffer is on the stack, because hundreds of idle connections must not hold a buffer each.
         let mut chunk = [0; READ_CHUNK_BYTES];
-        while self.needs_read() && allowance > 0 {
+        while self.needs_read() && allowance > 0 && callbacks.accepts_more() {
             match self.transport.read(&mut chunk) {
                 Ok(0) => self.note_peer_closed(),
                 Ok(count) => {
@@ -307,9 +370,32 @@
                 Err(_) => return self.close_as(Closed::Lost),
             }
         }
+        self.shrink_inbox();
+    }
+
+    /// Releases the part of the receive buffer that held handled messages.
+    fn shrink_inbox(&mut self) {
         if self.inbox.is_empty() {
             self.inbox = BytesMut::new();
+        } else if self.has_removed_messages {
+            self.inbox = BytesMut::from(&self.inbox[..]);
+        }
+        self.has_removed_messages = false;
+        self.update_memory();
+    }
+
+    /// Appends to the receive buffer. It grows by less than doubling, because much of what a peer makes this process hold
+    /// are the buffers of partial messages.
+    fn append_to_inbox(&mut self, bytes: &[u8]) {
+        let length = self.inbox.len() + bytes.len();
+        if self.inbox.capacity() < length {
+            let spare = (self.inbox.len() / SPARE_ROOM_DIVISOR).max(bytes.len());
+            let room = self.expected_length.max(self.inbox.len() + spare);
+            let mut grown = BytesMut::with_capacity(room);
+            grown.extend_from_slice(&self.inbox);
+            self.inbox = grown;
         }
+        self.inbox.extend_from_slice(bytes);
     }
 
     /// Handles the end of the peer's stream. The peer may still read, so queued output is written first.
@@ -329,13 +415,18 @@
             self.discarded += bytes.len();
             return;
         }
-        self.inbox.extend_from_slice(bytes);
+        self.append_to_inbox(bytes);
         self.last_received = now;
+        let length = self.inbox.len();
         if callbacks.received(&mut self.inbox).is_err() {
             // The owner may still write outstanding responses and the error before it finishes the connection.
             self.inbox.clear();
             self.state = State::Discarding;
         }
+        if self.inbox.len() < length {
+            self.has_removed_messages = true;
+            self.expected_length = 0;
+        }
     }
 
     /// Queues bytes, which [`Connection::flush`] writes. Ignored once the writing side is shut down.
@@ -344,12 +435,41 @@
             matches!(self.state, State::Dialing | State::Open | State::Discarding | State::Finishing);
         if can_write && !bytes.is_empty() {
             self.queued += bytes.len() as u64;
-            self.outbox.push_back(bytes);
+            self.push_output(bytes);
+            self.update_memory();
+        }
+    }
+
+    fn push_output(&mut self, bytes: Vec<u8>) {
+        match self.outbox.back_mut() {
+            Some(last) if last.len() + bytes.len() <= SHARED_BUFFER_BYTES => {
+                self.outbox_capacity -= last.capacity();
+                last.extend_from_slice(&bytes);
+                self.outbox_capacity += last.capacity();
+            }
+            _ => {
+                self.outbox_capacity += bytes.capacity();
+                self.outbox.push_back(bytes);
+            }
+        }
+    }
+
+    fn pop_output(&mut self) {
+        let written = self.outbox.pop_front();
+        self.outbox_capacity -= written.map_or(0, |buffer| buffer.capacity());
+        self.front_written = 0;
+        if self.outbox.is_empty() && self.outbox.capacity() > MAX_IDLE_OUTBOX_CAPACITY {
+            self.outbox = VecDeque::new();
         }
     }
 
     /// Writes as many queued bytes as the transport accepts.
     pub fn flush(&mut self, now: Micros) {
+        self.write_outbox(now);
+        self.update_memory();
+    }
+
+    fn write_outbox(&mut self, now: Micros) {
         if !matches!(self.state, State::Open | State::Discarding | State::Finishing) {
             return;
         }
@@ -363,8 +483,7 @@
                     self.delivery.record_written(n);
                     self.front_written += n;
                     if self.front_written == buffer.len() {
-                        self.front_written = 0;
-                        self.outbox.pop_front();
+                        self.pop_output();
                     }
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
@@ -386,7 +505,7 @@
     pub fn discard_input(&mut self) {
         if self.state == State::Open {
             self.state = State::Discarding;
-            self.inbox = BytesMut::new();
+            self.release_partial_message();
         }
     }
 
@@ -420,8 +539,9 @@
     fn close_as(&mut self, reason: Closed) {
         if !matches!(self.state, State::Closed(_)) {
             self.state = State::Closed(reason);
-            self.outbox.clear();
-            self.inbox = BytesMut::new();
+            self.outbox = VecDeque::new();
+            self.outbox_capacity = 0;
+            self.release_partial_message();
         }
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -9,6 +9,7 @@
 pub mod delivery;
 pub mod event_loop;
 pub mod listener;
+pub mod memory;
 pub mod pool;
 pub mod protocol;
 pub mod startup;
--- a/src/net/protocol/frames.rs
+++ b/src/net/protocol/frames.rs
@@ -2,6 +2,7 @@
 
 use super::{take_frame, ClientRequest, Malformed, Response, LENGTH_BYTES};
 use bytes::{Buf, BytesMut};
+use rustc_hash::{FxBuildHasher, FxHashSet};
 
 /// Valid lengths of client frames in bytes, which count type, stream and payload. The maximum is below the protocol's
 /// 262,144, because a request body has 48,000 bytes at most; the rest is for the fields.
@@ -34,6 +35,13 @@
         /// The request.
         request: Box<ClientRequest>,
     },
+    /// A request whose content was discarded while it arrived; see [`Decoder::discard_message`].
+    DiscardedRequest {
+        /// Number of a new stream on the connection.
+        stream: u32,
+        /// Name of the request's class, if that had arrived.
+        route: Option<String>,
+    },
     /// Cancellation of a request.
     Cancel {
         /// Stream of the request.
@@ -46,6 +54,91 @@
     },
 }
 
+/// Header of a frame after its length: type and stream.
+#[derive(Clone, Copy, Debug)]
+struct FrameHeader {
+    kind: u8,
+    stream: u32,
+}
+
+/// A message whose content is discarded as it arrives.
+#[derive(Debug)]
+struct DiscardedMessage {
+    header: FrameHeader,
+    route: Option<String>,
+    /// Number of bytes that have not arrived.
+    remaining: usize,
+}
+
+impl DiscardedMessage {
+    fn complete(self) -> Result<ClientMessage, Malformed> {
+        let FrameHeader { kind, stream } = self.header;
+        match kind {
+            REQUEST if stream == 0 => Err(Malformed::StreamZero),
+            REQUEST => Ok(ClientMessage::DiscardedRequest { stream, route: self.route }),
+            CANCEL => Ok(ClientMessage::Cancel { stream }),
+            READY => Ok(ClientMessage::Ready { stream }),
+            _ => Err(Malformed::FrameType),
+        }
+    }
+}
+
+/// Decoder of the messages on one connection.
+#[derive(Debug, Default)]
+pub struct Decoder {
+    discarded: Option<DiscardedMessage>,
+}
+
+impl Decoder {
+    /// Decodes and removes a message from the front of `bytes`; leaves `bytes` unchanged if the message is incomplete,
+    /// unless its content is to be discarded.
+    ///
+    /// # Errors
+    /// The bytes violate the protocol.
+    pub fn decode(&mut self, bytes: &mut BytesMut) -> Result<Option<ClientMessage>, Malformed> {
+        let Some(discarded) = &mut self.discarded else { return decode(bytes) };
+        let arrived = discarded.remaining.min(bytes.len());
+        bytes.advance(arrived);
+        discarded.remaining -= arrived;
+        if discarded.remaining > 0 {
+            return Ok(None);
+        }
+        self.discarded.take().map(DiscardedMessage::complete).transpose()
+    }
+
+    /// Discards the rest of a message as it arrives, so that its first part, `partial`, need not be kept. A request is
+    /// still returned once it is complete, without its content, because it is owed a response. Returns whether the message
+    /// is discarded; it is not while its header is incomplete.
+    pub fn discard_message(&mut self, partial: &[u8]) -> bool {
+        let Some((length, rest)) = partial.split_first_chunk::<LENGTH_BYTES>() else { return false };
+        let Some((&[kind, a, b, c, d], payload)) = rest.split_first_chunk() else { return false };
+        let end = LENGTH_BYTES + u32::from_be_bytes(*length) as usize;
+        self.discarded = Some(DiscardedMessage {
+            header: FrameHeader { kind, stream: u32::from_be_bytes([a, b, c, d]) },
+            route: find_route(payload).filter(|_| kind == REQUEST),
+            remaining: end.saturating_sub(partial.len()),
+        });
+        true
+    }
+
+    /// Returns whether a message is being discarded.
+    pub fn is_discarding(&self) -> bool {
+        self.discarded.is_some()
+    }
+}
+
+/// Returns the class in the first part of a request's payload, if it is there.
+fn find_route(mut payload: &[u8]) -> Option<String> {
+    let count = take_bytes(&mut payload, 1).ok()?[0];
+    for _ in 0..count {
+        let (name, value) = take_field(&mut payload).ok()?;
+        if name == "route" {
+            return Some(value.to_owned()).filter(|route| route.len() <= MAX_TEXT_BYTES);
+        }
+    }
+    None
+}
+
 /// Decodes and removes a message from the front of `bytes`; leaves `bytes` unchanged if the message is incomplete.
 pub fn decode(bytes: &mut BytesMut) -> Result<Option<ClientMessage>, Malformed> {
     let Some(mut frame) = take_frame(bytes, FRAME_LENGTHS)? else { return Ok(None) };
@@ -63,20 +156,16 @@
     let mut rest = payload;
     let count = take_bytes(&mut rest, 1)?[0];
     let mut request = ClientRequest::default();
-    let mut seen = Vec::new();
+    let mut seen = FxHashSet::with_capacity_and_hasher(usize::from(count), FxBuildHasher);
     for _ in 0..count {
-        let size = take_bytes(&mut rest, 1)?[0];
-        let name = decode_text(take_bytes(&mut rest, usize::from(size))?)?;
-        let size = u16::from_be_bytes([take_bytes(&mut rest, 1)?[0], take_bytes(&mut rest, 1)?[0]]);
-        let value = decode_text(take_bytes(&mut rest, usize::from(size))?)?;
-        if seen.contains(&name) {
+        let (name, value) = take_field(&mut rest)?;
+        if !seen.insert(name) {
             return Err(Malformed::DuplicateField);
         }
-        seen.push(name);
         decode_field(&mut request, name, value)?;
     }
     for required in ["route", "trace", "patience", "entity"] {
-        if !seen.contains(&required) {
+        if !seen.contains(required) {
             return Err(Malformed::MissingField);
         }
     }
@@ -87,6 +176,15 @@
     Ok(request)
 }
 
+/// Removes a field from the front of `rest` and returns its name and value.
+fn take_field<'a>(rest: &mut &'a [u8]) -> Result<(&'a str, &'a str), Malformed> {
+    let size = take_bytes(rest, 1)?[0];
+    let name = decode_text(take_bytes(rest, usize::from(size))?)?;
+    let size = u16::from_be_bytes([take_bytes(rest, 1)?[0], take_bytes(rest, 1)?[0]]);
+    let value = decode_text(take_bytes(rest, usize::from(size))?)?;
+    Ok((name, value))
+}
+
 fn take_bytes<'a>(rest: &mut &'a [u8], count: usize) -> Result<&'a [u8], Malformed> {
     let (taken, remaining) = rest.split_at_checked(count).ok_or(Malformed::FieldOverrun)?;
     *rest = remaining;
--- a/src/net/protocol/mod.rs
+++ b/src/net/protocol/mod.rs
@@ -17,6 +17,11 @@
 /// Size of the length prefix of a frame, in bytes.
 const LENGTH_BYTES: usize = 4;
 
+/// Number of allocations of a request: itself, its texts and its body.
+const ALLOCATIONS_PER_REQUEST: usize = 7;
+/// Memory that an allocator uses for one allocation beyond what was asked for, in bytes.
+const ALLOCATION_OVERHEAD_BYTES: usize = 16;
+
 /// A request as sent by a client. Texts that are forwarded unchanged are stored as received.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ClientRequest {
@@ -42,6 +47,17 @@
     pub body: Vec<u8>,
 }
 
+impl ClientRequest {
+    /// Returns the memory that the request takes, in bytes, with an allowance for the allocator's own.
+    pub fn memory_bytes(&self) -> usize {
+        let texts = [&self.request_id, &self.route, &self.object.0].map(String::capacity);
+        let optional = [&self.idempotency_key, &self.if_none_match];
+        let optional = optional.map(|text| text.as_ref().map_or(0, String::capacity));
+        let content: usize = texts.into_iter().chain(optional).sum::<usize>() + self.body.capacity();
+        size_of::<ClientRequest>() + ALLOCATIONS_PER_REQUEST * ALLOCATION_OVERHEAD_BYTES + content
+    }
+}
+
 /// The response to a client's request.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Response {
--- a/src/net/protocol/resp.rs
+++ b/src/net/protocol/resp.rs
@@ -80,6 +80,21 @@
     Ok(Some(response))
 }
 
+/// Returns the length of the incomplete response at the front of `bytes` as far as its strings are announced, or 0 if it is
+/// malformed or no string is announced yet.
+pub fn announced_length(bytes: &[u8]) -> usize {
+    let mut at = 0;
+    let Ok(Some(_)) = decode_length(bytes, &mut at, b'*') else { return 0 };
+    for max in MAX_STRING_BYTES {
+        match bytes.get(at..).map(|_| decode_length(bytes, &mut at, b'$')) {
+            Some(Ok(Some(length))) if length <= max => at += length + 2,
+            Some(Err(_) | Ok(Some(_))) => return 0,
+            _ => break,
+        }
+    }
+    at
+}
+
 /// Decodes the number in the length line at `at`, and moves `at` past the line. Returns `None` if it is incomplete.
 fn decode_length(bytes: &[u8], at: &mut usize, type_byte: u8) -> Result<Option<usize>, Malformed> {
     let rest = &bytes[*at..];
--- a/src/net/protocol/tests.rs
+++ b/src/net/protocol/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of the codecs: messages decode independently of how the bytes are split, and malformed input is rejected.
 
-use super::{command_channel, frames, resp, ClientRequest, Malformed, Response};
+use super::{command_channel, frames, resp, ClientRequest, Malformed, Response, LENGTH_BYTES};
 use crate::net::testing::config;
 use crate::routing::events::Fetch;
 use bytes::BytesMut;
@@ -151,3 +151,67 @@
         }
     }
 }
+
+/// Guards against a request whose content was discarded at any byte, and that is lost, answered on a wrong stream, or
+/// takes bytes of the message behind it.
+#[test]
+fn a_message_discarded_at_any_byte_is_returned_without_content_and_the_next_one_whole() {
+    let request = request_frame(7, &[("route", "clip"), ("trace", "00000000000000aa")], &[9; 300]);
+    let cancel = [0, 0, 0, 5, 9, 0, 0, 0, 3];
+    let header_end = LENGTH_BYTES + 5;
+    for split in 1..request.len() {
+        let mut decoder = frames::Decoder::default();
+        let mut bytes = BytesMut::from(&request[..split]);
+        assert_eq!(decoder.decode(&mut bytes), Ok(None), "{split}");
+        assert_eq!(decoder.discard_message(&bytes), split >= header_end, "{split}");
+        let mut rest = if decoder.is_discarding() { BytesMut::new() } else { bytes };
+        let mut decoded = Vec::new();
+        for byte in request[split..].iter().chain(&cancel) {
+            rest.extend_from_slice(&[*byte]);
+            decoded.extend(decoder.decode(&mut rest).ok().flatten());
+        }
+        let [first, second] = &decoded[..] else { panic!("{split}: {decoded:?}") };
+        assert_eq!(*second, frames::ClientMessage::Cancel { stream: 3 }, "{split}");
+        if let frames::ClientMessage::DiscardedRequest { stream, route } = first {
+            let route_end = header_end + 1 + 1 + "route".len() + 2 + "clip".len();
+            let expected = (split >= route_end).then(|| "clip".to_owned());
+            assert_eq!((*stream, route), (7, &expected), "{split}");
+        } else {
+            assert!(split < header_end, "{split}: {first:?}");
+        }
+    }
+}
+
+/// Encodes a request frame with the fields that every request has and `more`.
+fn request_frame(stream: u32, more: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    let mut list = more.to_vec();
+    list.extend([("patience", "1500"), ("entity", "7f3a9c21e0b4d655")]);
+    let mut payload = vec![list.len() as u8];
+    for (name, value) in list {
+        payload.push(name.len() as u8);
+        payload.extend(name.as_bytes());
+        payload.extend((value.len() as u16).to_be_bytes());
+        payload.extend(value.as_bytes());
+    }
+    payload.extend(body);
+    let mut frame = (payload.len() as u32 + 5).to_be_bytes().to_vec();
+    frame.push(7);
+    frame.extend(stream.to_be_bytes());
+    frame.extend(payload);
+    frame
+}
+
+/// Guards against a response that is counted with less memory than it will take.
+#[test]
+fn the_length_of_an_incomplete_response_is_announced_by_its_last_length_line() {
+    let body = "x".repeat(5_000);
+    let whole = format!("*4\r\n$2\r\nid\r\n$2\r\nok\r\n$1\r\n-\r\n$5000\r\n{body}\r\n").into_bytes();
+    let head = whole.len() - body.len() - 2;
+    for end in head..whole.len() {
+        assert_eq!(resp::announced_length(&whole[..end]), whole.len(), "{end}");
+    }
+    for end in 0..head {
+        assert!(resp::announced_length(&whole[..end]) < head + 2, "{end}");
+    }
+    assert_eq!(resp::announced_length(b"*4\r\n$999999\r\n"), 0);
+}
--- a/src/proxy/client_admission.rs
+++ b/src/proxy/client_admission.rs
@@ -66,7 +66,7 @@
         if accepted == 0 {
             // Every accept failed: retrying without a pause would leave no time for other work.
             self.schedule_accept();
-        } else if !self.unfinished_reads.contains(&self.listener.token) {
+        } else {
             self.unfinished_reads.push(self.listener.token);
         }
     }
@@ -85,7 +85,7 @@
         match self.event_loop.add(&mut stream, Interest::READABLE | Interest::WRITABLE) {
             Ok(token) => {
                 if self.make_room() {
-                    self.clients.insert(token, Client::new(stream, self.now));
+                    self.clients.insert(token, Client::new(stream, self.now, &self.memory));
                 }
             }
             Err(error) => self.keep_unregistered(stream, &error),
--- a/src/proxy/clients.rs
+++ b/src/proxy/clients.rs
@@ -4,15 +4,18 @@
 //! and evicts them, and [`super::requests`] holds the requests received on them.
 
 use super::deferred_messages::DeferredMessages;
-use super::message_buffer::MessageBuffer;
+use super::message_buffer::{MessageBuffer, Received};
 use super::timers::MILLISECOND;
+use super::unfinished_reads::work_of;
 use super::Proxy;
 use crate::config::settings::{ClassLookup, Document, MAX_TIME_US};
 use crate::net::connection::{Connection, State};
 use crate::net::event_loop::Ready;
-use crate::net::protocol::frames::{self, ClientMessage};
+use crate::net::memory::{MemoryBudget, MemoryUse};
+use crate::net::protocol::frames::{self, ClientMessage, Decoder};
 use crate::net::protocol::{ClientRequest, Malformed, Response};
 use crate::routing::events::{Id, Idempotency, Micros};
+use bytes::BytesMut;
 use mio::net::TcpStream;
 use mio::Token;
 use rustc_hash::{FxHashMap, FxHashSet};
@@ -21,6 +24,8 @@
 const MICROS_PER_S: f64 = 1e6;
 /// Maximum number of open requests on one connection.
 const MAX_OPEN_STREAMS: usize = 32;
+/// Number of messages after which no more is read from a connection in one turn.
+const MAX_MESSAGES_PER_TURN: usize = 256;
 /// Maximum number of requests of one connection that may be cancelled in excess of those answered.
 pub(super) const MAX_UNANSWERED_CANCELS: u32 = 64;
 /// Maximum client timeout and transfer time, as a multiple of the deadline of the request's class.
@@ -69,6 +74,7 @@
     protocol_error: Option<Malformed>,
     /// Messages that wait until what the client has sent is read further.
     pub(super) deferred: DeferredMessages,
+    decoder: Decoder,
 }
 
 /// Messages of one turn, up to the first that violates the protocol.
@@ -89,9 +95,11 @@
 }
 
 impl Client {
-    pub(super) fn new(stream: TcpStream, now: Micros) -> Self {
+    pub(super) fn new(stream: TcpStream, now: Micros, memory: &MemoryBudget) -> Self {
+        let mut conn = Connection::accepted(stream, now);
+        conn.count_memory_in(memory);
         Client {
-            conn: Connection::accepted(stream, now),
+            conn,
             last_stream: 0,
             open_streams: FxHashMap::default(),
             has_sent_going_away: false,
@@ -102,6 +110,7 @@
             was_undelivered: false,
             protocol_error: None,
             deferred: DeferredMessages::default(),
+            decoder: Decoder::default(),
         }
     }
 
@@ -147,16 +156,52 @@
         !self.has_sent_message() && self.conn.is_open()
     }
 
+    /// Reads what the poll has reported.
+    fn read(&mut self, now: Micros, event: &Ready) -> Received<ClientMessage> {
+        let decoder = &mut self.decoder;
+        let mut buffer = MessageBuffer::new(|bytes: &mut BytesMut| decoder.decode(bytes))
+            .limited_to(MAX_MESSAGES_PER_TURN);
+        self.conn.ready(now, event.readable, event.writable, &mut buffer);
+        let received = buffer.into_received();
+        if received.has_received {
+            self.record_received(now, received.messages.len());
+        }
+        received
+    }
+
     /// Updates the times on which the timeouts depend, after a read that brought `messages` complete
     /// messages.
     fn record_received(&mut self, now: Micros, messages: usize) {
         self.last_used = now;
         self.message_count += messages as u64;
-        let awaits_more = !self.has_sent_message() || self.conn.has_partial_message();
+        let awaits_more = !self.has_sent_message() || self.has_partial_message();
         let since = self.message_awaited_since.filter(|_| messages == 0).unwrap_or(now);
         self.message_awaited_since = awaits_more.then_some(since);
     }
 
+    /// Pauses reading while much output is unread, or any while memory is short, and resumes it afterwards: a client that
+    /// sends without reading must not make this process hold responses for it.
+    fn pause_or_resume(&mut self, has_memory: bool) {
+        let backlog = self.conn.backlog();
+        if backlog > BACKLOG_HIGH_WATER || backlog > 0 && !has_memory {
+            self.conn.pause(true);
+        } else if backlog < BACKLOG_LOW_WATER {
+            self.conn.pause(false);
+        }
+    }
+
+    /// Returns whether a message is partially received, even if its content is discarded.
+    pub(super) fn has_partial_message(&self) -> bool {
+        self.conn.has_partial_message() || self.decoder.is_discarding()
+    }
+
+    /// Releases the memory of a partially received message; its rest is discarded as it arrives.
+    pub(super) fn discard_partial_message(&mut self) {
+        if self.decoder.discard_message(self.conn.partial_message()) {
+            self.conn.release_partial_message();
+        }
+    }
+
     /// Records that a response was sent, and returns the request that awaited it.
     pub(super) fn record_response(&mut self, stream: u32) -> Option<Id> {
         self.unanswered_cancels = self.unanswered_cancels.saturating_sub(1);
@@ -187,6 +232,12 @@
                         valid.error = Some(Malformed::TooManyCancels);
                     }
                 }
+                ClientMessage::DiscardedRequest { stream, .. } => {
+                    if let Err(error) = self.begin_stream(*stream, streams.open) {
+                        valid.error = Some(error);
+                        return valid;
+                    }
+                }
                 ClientMessage::Request { stream, request } => {
                     let checked = self.begin_stream(*stream, streams.open);
                     if let Err(error) = checked.and_then(|()| check_request(request)) {
@@ -289,11 +340,8 @@
     pub(super) fn client_ready(&mut self, event: Ready) {
         let token = event.token;
         let Some(client) = self.clients.get_mut(&token) else { return };
-        let mut received = MessageBuffer::new(frames::decode);
-        client.conn.ready(self.now, event.readable, event.writable, &mut received);
-        if received.has_received {
-            client.record_received(self.now, received.messages.len());
-        }
+        let received = client.read(self.now, &event);
+        self.unfinished_reads.record_work(work_of(&received.messages));
         // A client that closes its side has abandoned all its requests, including those just received. It is
         // sent an error only if it violated the protocol.
         let has_disconnected =
@@ -301,6 +349,7 @@
         if has_disconnected {
             return self.drop_client(token);
         }
+        self.discard_partial_messages();
         if received.error.is_none() && self.defers_messages(token, &received.messages) {
             return self.defer_messages(token, received.messages);
         }
@@ -337,16 +386,13 @@
     /// be unread, or may still be on its way because the receive buffer was full.
     fn defers_messages(&self, token: Token, received: &[ClientMessage]) -> bool {
         let Some(client) = self.clients.get(&token) else { return false };
-        let max_bytes = self.bounds.request_bodies.saturating_sub(self.clients.deferred_bytes());
-        client.conn.needs_read() && client.deferred.may_grow(received, max_bytes)
+        client.conn.needs_read() && client.deferred.may_grow(received, &self.memory)
     }
 
     fn defer_messages(&mut self, token: Token, received: Vec<ClientMessage>) {
         let Some(client) = self.clients.get_mut(&token) else { return };
-        client.deferred.extend(received);
-        if !self.unfinished_reads.contains(&token) {
-            self.unfinished_reads.push(token);
-        }
+        client.deferred.extend(received, &self.memory);
+        self.unfinished_reads.push(token);
     }
 
     fn handle_messages(&mut self, token: Token, messages: Vec<ClientMessage>) {
@@ -355,6 +401,9 @@
             // Each message is handled after the router has handled the one before it.
             self.process_events();
         }
+        if let Some(client) = self.clients.get_mut(&token) {
+            client.conn.flush(self.now);
+        }
         self.after_client_write(token);
     }
 
@@ -368,6 +417,9 @@
                     self.abandon_request(id);
                 }
             }
+            ClientMessage::DiscardedRequest { stream, route } => {
+                self.reject_discarded_request(token, stream, route.as_deref());
+            }
             ClientMessage::Request { stream, request } => {
                 if self.lifecycle.sends_going_away() {
                     self.send_going_away(token);
@@ -379,9 +431,17 @@
                 self.admit_request(token, stream, *request);
             }
         }
-        if let Some(client) = self.clients.get_mut(&token) {
-            client.conn.flush(self.now);
+    }
+
+    /// Rejects a request whose content was discarded while it arrived.
+    fn reject_discarded_request(&mut self, token: Token, stream: u32, route: Option<&str>) {
+        let known = route.filter(|route| self.classes.find(self.now, route) != ClassLookup::Unknown);
+        if let Some(route) = known {
+            self.count_rejected(route);
         }
+        self.metrics.discarded_requests += 1;
+        let retry_after_ms = self.settings.limits.max_retry_after_us / MILLISECOND;
+        self.write_unadmitted(token, stream, &Response::Rejected { retry_after_ms });
     }
 
     /// Updates a connection after a write: closes it where it has ended, pauses or resumes reading by the
@@ -392,13 +452,8 @@
             State::Closed(_) => self.drop_client(token),
             State::Discarding if client.open_streams.is_empty() => self.finish_client(token),
             _ => {
-                let backlog = client.conn.backlog();
-                if backlog > BACKLOG_HIGH_WATER {
-                    client.conn.pause(true);
-                } else if backlog < BACKLOG_LOW_WATER {
-                    client.conn.pause(false);
-                }
-                if client.conn.needs_read() && !self.unfinished_reads.contains(&token) {
+                client.pause_or_resume(self.memory.allows(MemoryUse::PartialMessage, 0));
+                if client.conn.needs_read() {
                     self.unfinished_reads.push(token);
                 }
             }
@@ -440,8 +495,7 @@
     /// Returns whether a client is still idle after its input was read, and no message has begun to arrive
     /// apart from the one that was partial before (`had_partial`).
     pub(super) fn is_still_idle(&self, token: Token, had_partial: bool) -> bool {
-        let is_idle =
-            |client: &Client| client.is_idle() && (had_partial || !client.conn.has_partial_message());
+        let is_idle = |client: &Client| client.is_idle() && (had_partial || !client.has_partial_message());
         self.clients.get(&token).is_some_and(is_idle)
     }
 
@@ -492,7 +546,7 @@
     /// that do not read.
     pub(super) fn sweep_clients(&mut self) {
         self.clients.update_deliveries(self.now);
-        let expired = self.clients.expired(self.now, &self.lifecycle, self.bounds.client_buffers);
+        let expired = self.clients.expired(self.now, &self.lifecycle);
         for token in expired.stalled {
             self.drop_client(token);
         }
@@ -503,7 +557,10 @@
             self.finish_client_for_shutdown(token);
         }
         for token in self.clients.with_overdue_message(self.now) {
-            self.refuse_client(token, Malformed::MessageTimeout);
+            // Input that waits for its turn is read first: it may complete the message.
+            if !self.unfinished_reads.contains(&token) {
+                self.refuse_client(token, Malformed::MessageTimeout);
+            }
         }
     }
 }
--- a/src/proxy/command_channel.rs
+++ b/src/proxy/command_channel.rs
@@ -37,8 +37,9 @@
 impl Proxy {
     /// Handles readiness of the channel's connection.
     pub(super) fn command_channel_ready(&mut self, event: Ready) {
-        let mut received = MessageBuffer::new(decode);
-        self.discovery.command_channel.ready(self.now, event.readable, event.writable, &mut received);
+        let mut buffer = MessageBuffer::new(decode);
+        self.discovery.command_channel.ready(self.now, event.readable, event.writable, &mut buffer);
+        let received = buffer.into_received();
         for numbered in received.messages {
             if !self.apply_command(numbered) {
                 // The messages after the gap are discarded, because they are sent again as well.
--- a/src/proxy/configuration.rs
+++ b/src/proxy/configuration.rs
@@ -183,6 +183,7 @@
         let processes = 1 + usize::from(self.has_other_process());
         limits.sockets = limits.sockets.min(max_descriptors().saturating_mul(processes));
         self.bounds = Bounds::from_limits(&limits, self.admin.is_some(), self.has_other_process());
+        self.memory.set_limit(self.bounds.buffers);
         self.limit_local_cache();
         let settings = &self.settings.limits;
         let idle_timeout = settings.conn_idle_us / 10 * UPSTREAM_IDLE_TENTHS;
--- a/src/proxy/deferred_messages.rs
+++ b/src/proxy/deferred_messages.rs
@@ -1,19 +1,22 @@
 //! Messages of a client that are not handled before the input behind them is read.
 //!
 //! One turn of the event loop reads a limited amount from a connection. A client that has sent more may have cancelled
-//! requests at the front of it, so requests wait for the turns that read the rest; the number of turns and bytes is
-//! limited. The owner is [`super::clients::Client`].
+//! requests at the front of it, so requests wait for the turns that read the rest; the number of turns and of messages is
+//! limited, and their memory is counted in the budget. The owner is [`super::clients::Client`].
 
+use crate::net::memory::{MemoryBudget, MemoryUse, Reservation};
 use crate::net::protocol::frames::ClientMessage;
 
 /// Maximum number of turns that a message waits for: they read more than all requests that a client may have open.
 const MAX_TURNS: u32 = 16;
+/// Maximum number of messages that wait.
+const MAX_MESSAGES: usize = 4096;
 
 /// Deferred messages of one client.
 #[derive(Default)]
 pub(super) struct DeferredMessages {
     messages: Vec<ClientMessage>,
-    bytes: usize,
+    memory: Reservation,
     turns: u32,
 }
 
@@ -22,21 +25,18 @@
         self.messages.is_empty()
     }
 
-    /// Returns the size of the bodies of the deferred requests.
-    pub(super) fn bytes(&self) -> usize {
-        self.bytes
-    }
-
     /// Returns whether messages may be deferred for another turn together with those that are: there is a request among
-    /// them, and the bodies of the new ones have at most `max_bytes`.
-    pub(super) fn may_grow(&self, received: &[ClientMessage], max_bytes: usize) -> bool {
+    /// them, and the budget allows the memory of the new ones.
+    pub(super) fn may_grow(&self, received: &[ClientMessage], budget: &MemoryBudget) -> bool {
         let is_request = |message: &ClientMessage| matches!(message, ClientMessage::Request { .. });
         let has_request = self.messages.iter().chain(received).any(is_request);
-        has_request && self.turns < MAX_TURNS && body_bytes(received) <= max_bytes
+        let is_within_limits = self.turns < MAX_TURNS && self.messages.len() + received.len() <= MAX_MESSAGES;
+        has_request && is_within_limits && budget.allows(MemoryUse::Request, memory_bytes(received))
     }
 
-    pub(super) fn extend(&mut self, received: Vec<ClientMessage>) {
-        self.bytes += body_bytes(&received);
+    pub(super) fn extend(&mut self, received: Vec<ClientMessage>, budget: &MemoryBudget) {
+        let bytes = self.memory.bytes() + memory_bytes(&received);
+        self.memory = budget.reserve(bytes);
         self.turns += 1;
         self.messages.extend(received);
     }
@@ -49,10 +49,13 @@
     }
 }
 
-fn body_bytes(messages: &[ClientMessage]) -> usize {
-    let body = |message: &ClientMessage| match message {
-        ClientMessage::Request { request, .. } => request.body.len(),
-        ClientMessage::Ready { .. } | ClientMessage::Cancel { .. } => 0,
+fn memory_bytes(messages: &[ClientMessage]) -> usize {
+    let content = |message: &ClientMessage| match message {
+        ClientMessage::Request { request, .. } => request.memory_bytes(),
+        ClientMessage::DiscardedRequest { .. }
+        | ClientMessage::Ready { .. }
+        | ClientMessage::Cancel { .. } => 0,
     };
-    messages.iter().map(body).sum()
+    // A vector that grows has up to twice the room that it uses.
+    messages.iter().map(|message| 2 * size_of::<ClientMessage>() + content(message)).sum()
 }
--- a/src/proxy/draining.rs
+++ b/src/proxy/draining.rs
@@ -120,7 +120,7 @@
         let is_delivering = clients.any(|client| {
             client.conn.undelivered() > 0 && !client.is_delivery_stalled(self.now, SHUTDOWN_STALL_TIMEOUT)
         });
-        let has_partial = self.clients.values().any(|client| client.conn.has_partial_message());
+        let has_partial = self.clients.values().any(|client| client.has_partial_message());
         let open = OpenWork {
             unanswered: self.requests.unfinished().next().is_some() || is_delivering,
             incoming: !self.unfinished_reads.is_empty() || has_partial,
--- a/src/proxy/metrics.rs
+++ b/src/proxy/metrics.rs
@@ -37,6 +37,12 @@
     pub(super) evicted_idle_clients: u64,
     /// Client connections closed right after the accept because all others were in use.
     pub(super) rejected_clients: u64,
+    /// Partial messages that were discarded because memory was short.
+    pub(super) discarded_messages: u64,
+    /// Requests rejected because their content had been discarded.
+    pub(super) discarded_requests: u64,
+    /// Times that reading from an upstream was paused because memory was short.
+    pub(super) paused_upstream_reads: u64,
     /// Longest delay of a timer, in microseconds.
     pub(super) max_timer_delay: Micros,
     /// Longest time between two waits for events, in microseconds.
@@ -71,6 +77,9 @@
             .field("mute_gone", &self.evicted_silent_clients)
             .field("idle_gone", &self.evicted_idle_clients)
             .field("no_room", &self.rejected_clients)
+            .field("partial_discarded", &self.discarded_messages)
+            .field("requests_discarded", &self.discarded_requests)
+            .field("upstreams_paused", &self.paused_upstream_reads)
             .field("latest_timer", &self.max_timer_delay)
             .field("longest_turn", &self.max_turn_duration)
             .finish()
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -21,6 +21,7 @@
 mod gossip;
 mod housekeeping;
 mod local_cache;
+mod memory_pressure;
 mod message_buffer;
 mod metrics;
 mod predecessor;
@@ -35,6 +36,7 @@
 #[cfg(test)]
 mod tests;
 mod timers;
+mod unfinished_reads;
 mod upstreams;
 
 pub use self::start::{EventObserver, Startup};
@@ -50,6 +52,7 @@
 use self::requests::ActiveRequests;
 use self::takeover::Takeover;
 use self::timers::{TimerEvent, MILLISECOND};
+use self::unfinished_reads::{TurnEvent, UnfinishedReads};
 use crate::admin::Metrics as AdminMetrics;
 use crate::config::settings::{ClassTable, Document};
 use crate::lifecycle::Lifecycle;
@@ -57,6 +60,7 @@
 use crate::net::bounds::Bounds;
 use crate::net::clock::Clock;
 use crate::net::event_loop::{EventLoop, Ready, Timers, SIGNALS};
+use crate::net::memory::MemoryBudget;
 use crate::net::pool::Pool;
 use crate::net::protocol::Response;
 use crate::routing::events::{Action, AttemptStatus, Event, Micros};
@@ -102,13 +106,15 @@
     settings: Document,
     classes: ClassTable,
     bounds: Bounds,
+    /// Budget of what is held for peers: messages, requests and responses.
+    memory: MemoryBudget,
     lifecycle: Lifecycle,
     event_loop: EventLoop,
     timers: Timers<TimerEvent>,
     /// Sockets that are ready; the vector is reused across turns.
     ready: Vec<Ready>,
     /// Sockets that had more to read or accept than one turn handles.
-    unfinished_reads: Vec<Token>,
+    unfinished_reads: UnfinishedReads,
     router: Router,
     /// Events that the router has not handled yet.
     events: VecDeque<Event>,
@@ -119,6 +125,8 @@
     clients: Clients,
     requests: ActiveRequests,
     pool: Pool,
+    /// Upstream connections that are not read until memory is released.
+    paused_upstreams: Vec<Token>,
     discovery: Discovery,
     purges: RecentPurges,
     local_cache: LocalCache,
@@ -175,28 +183,38 @@
     /// Handles the ready sockets and those with unfinished reads. Whether the purge log is complete is judged
     /// after its own input is read and before any input whose handling depends on it.
     fn handle_input(&mut self, ready: &mut Vec<Ready>) {
-        let unfinished = std::mem::take(&mut self.unfinished_reads).into_iter();
-        ready.extend(unfinished.map(|token| Ready {
-            token,
-            readable: false,
-            writable: false,
-            read_closed: false,
-        }));
-        ready.sort_by_key(|event| self.input_order(event));
-        let of_purge_log = ready.partition_point(|event| self.input_order(event) <= InputOrder::PurgeLog);
-        for event in ready.drain(..of_purge_log) {
-            self.handle_ready(event);
+        let mut events = self.unfinished_reads.begin_turn(ready);
+        events.sort_by_key(|event| (self.input_order(&event.ready), event.is_begun));
+        let is_of_purge_log = |event: &TurnEvent| self.input_order(&event.ready) <= InputOrder::PurgeLog;
+        let after_purge_log = events.partition_point(is_of_purge_log);
+        let later = events.split_off(after_purge_log);
+        for event in events {
+            self.handle_ready(event.ready);
         }
         self.reevaluate_purge_log();
-        for event in ready.drain(..) {
-            self.handle_ready(event);
+        for event in later {
+            self.handle_or_postpone(event);
         }
+        self.resume_upstream_reads();
         if std::mem::take(&mut self.discovery.has_more) {
             self.run_registry();
             self.process_events();
         }
     }
 
+    /// Handles an event, unless it is input of a client and the work of this turn is done.
+    fn handle_or_postpone(&mut self, event: TurnEvent) {
+        let is_client_input = self.input_order(&event.ready) == InputOrder::Client;
+        if is_client_input && !self.unfinished_reads.allows(&event) {
+            return self.unfinished_reads.postpone(event);
+        }
+        let work_before = self.unfinished_reads.work();
+        self.handle_ready(event.ready);
+        if event.is_begun {
+            self.unfinished_reads.record_unfinished_work(work_before);
+        }
+    }
+
     /// Handles all timers that were due at `moment`.
     fn handle_due_timers(&mut self, moment: Micros) {
         while let Some((due_at, timer)) = self.timers.pop_due(moment) {
--- a/src/proxy/requests.rs
+++ b/src/proxy/requests.rs
@@ -11,6 +11,7 @@
 use crate::admin::EndStatus;
 use crate::config::settings::ClassLookup;
 use crate::invariant;
+use crate::net::memory::{MemoryUse, Reservation};
 use crate::net::protocol::{frames, ClientRequest, Response};
 use crate::routing::deduplication::{FirstExecution, RepeatPolicy};
 use crate::routing::events::{
@@ -53,9 +54,16 @@
     /// the response to a newer attempt on the same connection, because responses name the request but not the
     /// attempt.
     pub(super) used_connections: Vec<Token>,
+    /// Memory of the request.
+    _memory: Reservation,
 }
 
 impl ActiveRequest {
+    /// Returns the memory of an active request, in bytes.
+    fn memory_bytes(request: &ClientRequest) -> usize {
+        size_of::<ActiveRequest>() + request.memory_bytes()
+    }
+
     fn new(
         request: ClientRequest,
         client: Token,
@@ -63,6 +71,7 @@
         admission: Admission,
         deadline: Micros,
         max_attempts: u32,
+        memory: Reservation,
     ) -> Self {
         ActiveRequest {
             request,
@@ -78,6 +87,7 @@
             repeat_policy: admission.repeat_policy,
             first_execution: None,
             used_connections: Vec::new(),
+            _memory: memory,
         }
     }
 
@@ -158,20 +168,15 @@
 #[derive(Default)]
 pub(super) struct ActiveRequests {
     pub(super) by_id: FxHashMap<Id, ActiveRequest>,
-    /// Total size of all request bodies, in bytes.
-    pub(super) body_bytes: usize,
 }
 
 impl ActiveRequests {
     pub(super) fn insert(&mut self, id: Id, request: ActiveRequest) {
-        self.body_bytes += request.request.body.len();
         self.by_id.insert(id, request);
     }
 
     pub(super) fn remove(&mut self, id: &Id) -> Option<ActiveRequest> {
-        let removed = self.by_id.remove(id)?;
-        self.body_bytes -= removed.request.body.len();
-        Some(removed)
+        self.by_id.remove(id)
     }
 
     pub(super) fn get(&self, id: &Id) -> Option<&ActiveRequest> {
@@ -218,11 +223,6 @@
         self.by_id.iter().filter(|(_, active)| !active.is_finished).map(|(id, _)| id)
     }
 
-    /// Returns the total size of all request bodies, in bytes.
-    pub(super) fn body_bytes(&self) -> usize {
-        self.body_bytes
-    }
-
     /// Updates an event that was queued for the router.
     ///
     /// The request of an outcome may have finished while the event was queued, for example when writing the
@@ -308,7 +308,8 @@
         let has_capacity = self.has_capacity_for(&request);
         self.classes.request_opened(admission.class);
         let (deadline, max_attempts) = (self.now + router_timeout, self.settings.limits.max_attempts);
-        let active = ActiveRequest::new(request, client, stream, admission, deadline, max_attempts);
+        let memory = self.memory.reserve(ActiveRequest::memory_bytes(&request));
+        let active = ActiveRequest::new(request, client, stream, admission, deadline, max_attempts, memory);
         self.requests.insert(id.clone(), active);
         if let Some(client) = self.clients.get_mut(&client) {
             client.open_streams.insert(stream, id.clone());
@@ -326,10 +327,9 @@
     }
 
     fn has_capacity_for(&self, request: &ClientRequest) -> bool {
-        let body_bytes = self.requests.body_bytes() + request.body.len();
         self.lifecycle.admits_requests(self.now)
             && self.requests.len() < self.settings.limits.max_open.max(1)
-            && body_bytes <= self.bounds.request_bodies
+            && self.memory.allows(MemoryUse::Request, ActiveRequest::memory_bytes(request))
     }
 
     /// Writes the response to a request that is not admitted.
--- a/src/proxy/start.rs
+++ b/src/proxy/start.rs
@@ -13,6 +13,7 @@
 use super::takeover::{OpenedSocket, Takeover};
 use super::takeover_files::TakeoverFiles;
 use super::timers::TimerEvent;
+use super::unfinished_reads::UnfinishedReads;
 use super::Proxy;
 use crate::admin::Metrics as AdminMetrics;
 use crate::config::platform::Config;
@@ -23,6 +24,7 @@
 use crate::net::bounds::Bounds;
 use crate::net::clock::Clock;
 use crate::net::event_loop::{EventLoop, SignalFlags, Timers};
+use crate::net::memory::MemoryBudget;
 use crate::net::pool::Pool;
 use crate::net::startup::retry_step;
 use crate::registry::driver::Driver;
@@ -173,11 +175,12 @@
             settings: config.settings,
             classes,
             bounds,
+            memory: MemoryBudget::new(bounds.buffers),
             lifecycle: Lifecycle::default(),
             event_loop,
             timers: Timers::default(),
             ready: Vec::new(),
-            unfinished_reads: Vec::new(),
+            unfinished_reads: UnfinishedReads::default(),
             router,
             events: VecDeque::new(),
             event_observer: None,
@@ -185,6 +188,7 @@
             listener,
             clients: Clients::default(),
             requests: ActiveRequests::default(),
+            paused_upstreams: Vec::new(),
             pool: Pool::new(multiplex, bounds.upstream, MAX_CONNECTIONS_PER_ENDPOINT, Micros::MAX),
             discovery: Discovery::new(config.channel, config.cursor),
             purges: RecentPurges::default(),
--- a/src/proxy/takeover.rs
+++ b/src/proxy/takeover.rs
@@ -436,7 +436,7 @@
     pub(super) fn close_idle_clients(&mut self) {
         self.clients.update_deliveries(self.now);
         let is_idle =
-            |client: &Client| client.is_idle() && client.conn.is_open() && !client.conn.has_partial_message();
+            |client: &Client| client.is_idle() && client.conn.is_open() && !client.has_partial_message();
         let idle = self.clients.iter().filter(|(_, client)| is_idle(client));
         let mut idle: Vec<(Micros, Token)> = idle.map(|(token, client)| (client.last_used, *token)).collect();
         idle.sort_unstable();
--- a/src/proxy/tests.rs
+++ b/src/proxy/tests.rs
@@ -9,6 +9,7 @@
 mod draining;
 mod handover;
 mod local_cache;
+mod memory;
 mod owed_responses;
 mod pauses;
 mod processes;
--- a/src/proxy/upstreams.rs
+++ b/src/proxy/upstreams.rs
@@ -34,7 +34,8 @@
         }
         match dial {
             Ok((token, stream)) => {
-                let conn = Connection::dialing(stream, self.now);
+                let mut conn = Connection::dialing(stream, self.now);
+                conn.count_memory_in(&self.memory);
                 self.pool.add(token, UpstreamConnection::new(conn, endpoint.clone(), address, self.now));
                 let timeout = self.settings.limits.dial_timeout_us;
                 self.timers.set(self.now + timeout, TimerEvent::DialDeadline(token));
@@ -66,10 +67,13 @@
     /// Handles readiness of an upstream connection.
     pub(super) fn upstream_ready(&mut self, event: Ready) {
         let token = event.token;
+        self.pause_or_resume_upstream(token);
+        let max_responses = self.max_responses();
         let Some(upstream) = self.pool.get_mut(token) else { return };
-        let mut received = MessageBuffer::new(resp::decode);
+        let mut buffer = MessageBuffer::new(resp::decode).limited_to(max_responses);
         let had_backlog = upstream.conn.backlog() > 0;
-        upstream.conn.ready(self.now, event.readable, event.writable, &mut received);
+        upstream.conn.ready(self.now, event.readable, event.writable, &mut buffer);
+        let mut received = buffer.into_received();
         if received.has_received {
             upstream.note_received(self.now);
         }
@@ -78,6 +82,7 @@
             let written = upstream.conn.written();
             self.count_written(ids, written);
         }
+        self.count_partial_response(token);
         if received.has_opened {
             self.upstream_opened(token);
         }
@@ -126,7 +131,8 @@
     pub(super) fn response_stalled(&mut self, token: Token) {
         let Some(upstream) = self.pool.get_mut(token) else { return };
         let idle = self.now.saturating_sub(upstream.conn.last_received);
-        if upstream.conn.has_partial_message() && idle >= RESPONSE_STALL_TIMEOUT {
+        let is_stalled = upstream.conn.has_partial_message() && !upstream.conn.is_paused();
+        if is_stalled && idle >= RESPONSE_STALL_TIMEOUT {
             self.metrics.upstream_protocol_errors += 1;
             warn!(self.log, "incomplete upstream response"; "endpoint" => %upstream.endpoint);
             self.close_upstream(token);
