Rules that a reload changes count from a request's first byte, also across a takeover

Cause: which settings a client may still know was asked at the time of the last byte (ClassTable::find, recently_allowed_no_key and repeat_policy were given the time of the read). The same question decided about dropped classes, shorter deadlines (a protocol error too), what may be repeated, and the number of attempts.

Change: each message carries the earliest time at which it may have begun (proxy/arrival_times.rs: first byte, reading paused, process stopped), and all of these rules are asked for that time. Attempts and transfer rate have a history beside the classes (config/settings/request_limits.rs). A takeover hands both to the successor, which started without what its predecessor had changed or dropped.

The tests processes::a_request_begun_before_..., a_request_that_lay_unread_... and handover::classes_that_a_reload_has_changed_... cover keyed, dropped, shortened, loosened, attempts, paused, stopped and handed over.

--- a/src/config/settings/classes.rs
+++ b/src/config/settings/classes.rs
@@ -1,12 +1,16 @@
 //! The request classes, with numbers that stay the same when settings are reloaded.
 //!
 //! A request keeps the class with which it arrived until it ends. A class that new settings drop is still served for a
-//! short time and its name is known for longer, because clients learn of the change with a delay.
+//! short time and its name is known for longer, because clients learn of the change with a delay. Which classes apply to
+//! a request is decided by the time at which its first byte arrived: its client has made it by the settings known then,
+//! however long it takes to write it.
 
 use super::{ClassEntry, Document};
 use crate::invariant;
 use crate::routing::deduplication::RepeatPolicy;
 use crate::routing::events::{Class, Idempotency, Micros, Settings};
+use serde::{Deserialize, Serialize};
+use std::cmp::Reverse;
 
 /// Time for which a dropped class is still served, in microseconds. Clients learn of the change up to 1.2 s after it.
 pub const DROPPED_CLASS_SERVED_FOR_US: Micros = 1_500_000;
@@ -51,6 +55,22 @@
     }
 }
 
+/// Maximum number of classes that are handed to another process of the instance.
+pub const MAX_KNOWN_CLASSES: usize = 256;
+
+/// A class that clients may know, as one process of an instance hands it to the next.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct KnownClass {
+    /// Name of the class.
+    pub name: String,
+    /// Longest time that a client waits, in microseconds.
+    pub deadline: Micros,
+    /// The class.
+    pub class: Class,
+    /// Time since the settings dropped the class, in microseconds; `None` if they contain it.
+    pub dropped_for: Option<Micros>,
+}
+
 /// All classes by number: those in the settings and dropped ones that are still known or have open requests.
 #[derive(Clone, Debug, Default)]
 pub struct ClassTable {
@@ -116,30 +136,59 @@
         }
     }
 
-    /// Looks up a name: the current class, or else the class of that name that was dropped last. The deadline is the
+    /// Returns the classes that clients may know at `now`, those dropped last first.
+    pub fn known(&self, now: Micros) -> Vec<KnownClass> {
+        let is_known = |slot: &&Slot| slot.dropped_for(now) < DROPPED_CLASS_KNOWN_FOR_US;
+        let mut known: Vec<&Slot> = self.slots.iter().filter(is_known).collect();
+        known.sort_by_key(|slot| (!slot.is_current(), Reverse(slot.dropped_at)));
+        known.truncate(MAX_KNOWN_CLASSES);
+        let copied = |slot: &Slot| KnownClass {
+            name: slot.name.clone(),
+            deadline: slot.deadline,
+            class: slot.class.clone(),
+            dropped_for: (!slot.is_current()).then(|| slot.dropped_for(now)),
+        };
+        known.into_iter().map(copied).collect()
+    }
+
+    /// Adds the classes that clients may know from the process before. A class that the settings of this process do not
+    /// contain is dropped at `now`, unless the process before had dropped it already.
+    pub fn inherit(&mut self, now: Micros, classes: Vec<KnownClass>) {
+        for KnownClass { name, deadline, class, dropped_for } in classes.into_iter().take(MAX_KNOWN_CLASSES) {
+            let is_same = |slot: &Slot| slot.name == name && slot.deadline == deadline && slot.class == class;
+            if !self.slots.iter().any(is_same) {
+                let dropped_at = Some(now.saturating_sub(dropped_for.unwrap_or(0)));
+                self.slots.push(Slot { name, deadline, class, dropped_at, open_requests: 0 });
+            }
+        }
+    }
+
+    /// Looks up a name for a request that began at `begun_at`: the current class, or else the class of that name that was dropped last. The deadline is the
     /// longest of all served classes with the name, because clients that have not learned of a change still send the
     /// old deadline, and a deadline above the allowed one closes their connection.
-    pub fn find(&self, now: Micros, name: &str) -> ClassLookup<'_> {
+    pub fn find(&self, begun_at: Micros, name: &str) -> ClassLookup<'_> {
         let of_name = || self.slots.iter().enumerate().filter(|(_, slot)| slot.name == name);
-        let latest = of_name().min_by_key(|(_, slot)| (!slot.is_current(), slot.dropped_for(now)));
+        let latest = of_name().min_by_key(|(_, slot)| (!slot.is_current(), Reverse(slot.dropped_at)));
         match latest {
-            Some((number, slot)) if slot.is_served(now) => {
-                let served = of_name().filter(|(_, slot)| slot.is_served(now));
+            Some((number, slot)) if slot.is_served(begun_at) => {
+                let served = of_name().filter(|(_, slot)| slot.is_served(begun_at));
                 let longest = served.map(|(_, slot)| slot.deadline).max();
                 let deadline = longest.unwrap_or(slot.deadline);
                 ClassLookup::Found { number, deadline, class: &slot.class }
             }
-            Some((_, slot)) if slot.dropped_for(now) < DROPPED_CLASS_KNOWN_FOR_US => ClassLookup::Dropped,
+            Some((_, slot)) if slot.dropped_for(begun_at) < DROPPED_CLASS_KNOWN_FOR_US => {
+                ClassLookup::Dropped
+            }
             _ => ClassLookup::Unknown,
         }
     }
 
-    /// Returns what is allowed once a request of the class `number` may have run. Its client may not know yet of a
+    /// Returns what is allowed once a request of the class `number` that began at `begun_at` may have run. Its client may not know yet of a
     /// change of the class, so classes of that name that were dropped recently restrict it too, unless the request
     /// lacks the key that their clients sent.
-    pub fn repeat_policy(&self, now: Micros, number: usize, has_key: bool) -> RepeatPolicy {
+    pub fn repeat_policy(&self, begun_at: Micros, number: usize, has_key: bool) -> RepeatPolicy {
         let current = &self.slots[number];
-        let recent = self.slots.iter().filter(|slot| slot.name == current.name && slot.is_served(now));
+        let recent = self.slots.iter().filter(|slot| slot.name == current.name && slot.is_served(begun_at));
         let policies = recent.map(|slot| RepeatPolicy::from(&slot.class));
         let known_to_client = policies.filter(|policy| has_key || !policy.needs_key());
         known_to_client.fold(RepeatPolicy::from(&current.class), RepeatPolicy::strictest)
@@ -161,13 +210,13 @@
         self.slots.iter().map(|slot| slot.open_requests).sum()
     }
 
-    /// Returns whether a recently dropped class of this name that is still served allowed requests without an
+    /// Returns whether a dropped class of this name that was still served at `begun_at` allowed requests without an
     /// idempotency key.
-    pub fn recently_allowed_no_key(&self, now: Micros, name: &str) -> bool {
+    pub fn recently_allowed_no_key(&self, begun_at: Micros, name: &str) -> bool {
         self.slots.iter().any(|slot| {
             slot.name == name
                 && !slot.is_current()
-                && slot.is_served(now)
+                && slot.is_served(begun_at)
                 && slot.class.idempotency != Idempotency::WithKey
         })
     }
--- a/src/config/settings/mod.rs
+++ b/src/config/settings/mod.rs
@@ -9,14 +9,19 @@
 mod checks;
 mod classes;
 mod keys;
+mod request_limits;
 #[cfg(test)]
 mod tests;
 mod translation;
 
 pub use self::checks::InvalidSetting;
 pub(crate) use self::checks::MAX_TIME_US;
-pub use self::classes::{ClassLookup, ClassTable, DROPPED_CLASS_KNOWN_FOR_US, DROPPED_CLASS_SERVED_FOR_US};
+pub use self::classes::{
+    ClassLookup, ClassTable, KnownClass, DROPPED_CLASS_KNOWN_FOR_US, DROPPED_CLASS_SERVED_FOR_US,
+    MAX_KNOWN_CLASSES,
+};
 pub use self::keys::key_paths;
+pub use self::request_limits::{KnownLimits, RequestLimits, RequestLimitsHistory};
 
 use crate::routing::events::Micros;
 use serde::Deserialize;
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -329,6 +329,11 @@
         self.may_have_input && reads
     }
 
+    /// Whether input may be left unread, also while reading is paused.
+    pub fn may_have_unread_input(&self) -> bool {
+        self.may_have_input
+    }
+
     /// Whether the connection was finished and is not closed yet: input is discarded.
     pub fn is_ending(&self) -> bool {
         matches!(self.state, State::Finishing | State::Lingering)
--- a/src/proxy/clients.rs
+++ b/src/proxy/clients.rs
@@ -3,12 +3,13 @@
 //! [`super::client_table`] owns the connections and selects among them; [`super::client_admission`] accepts
 //! and evicts them, and [`super::requests`] holds the requests received on them.
 
+use super::arrival_times::{ArrivalTimes, ReadState, ReceivedMessage};
 use super::deferred_messages::DeferredMessages;
-use super::message_buffer::{MessageBuffer, Received};
+use super::message_buffer::MessageBuffer;
 use super::timers::MILLISECOND;
 use super::unfinished_reads::work_of;
 use super::Proxy;
-use crate::config::settings::{ClassLookup, Document, MAX_TIME_US};
+use crate::config::settings::{ClassLookup, RequestLimits, MAX_TIME_US};
 use crate::net::connection::{Connection, State};
 use crate::net::event_loop::Ready;
 use crate::net::memory::{MemoryBudget, MemoryUse};
@@ -75,12 +76,13 @@
     /// Messages that wait until what the client has sent is read further.
     pub(super) deferred: DeferredMessages,
     decoder: Decoder,
+    arrivals: ArrivalTimes,
 }
 
 /// Messages of one turn, up to the first that violates the protocol.
 #[derive(Default)]
-struct ValidatedMessages {
-    messages: Vec<ClientMessage>,
+struct ReceivedMessages {
+    messages: Vec<ReceivedMessage>,
     error: Option<Malformed>,
 }
 
@@ -111,6 +113,7 @@
             protocol_error: None,
             deferred: DeferredMessages::default(),
             decoder: Decoder::default(),
+            arrivals: ArrivalTimes::default(),
         }
     }
 
@@ -156,8 +159,8 @@
         !self.has_sent_message() && self.conn.is_open()
     }
 
-    /// Reads what the poll has reported.
-    fn read(&mut self, now: Micros, event: &Ready) -> Received<ClientMessage> {
+    /// Reads what the poll has reported. All earlier input was read at `read_through_at`, unless some was left unread.
+    fn read(&mut self, now: Micros, read_through_at: Micros, event: &Ready) -> ReceivedMessages {
         let decoder = &mut self.decoder;
         let mut buffer = MessageBuffer::new(|bytes: &mut BytesMut| decoder.decode(bytes))
             .limited_to(MAX_MESSAGES_PER_TURN);
@@ -166,7 +169,12 @@
         if received.has_received {
             self.record_received(now, received.messages.len());
         }
-        received
+        let state = ReadState {
+            has_partial_message: self.has_partial_message(),
+            has_unread_input: self.conn.may_have_unread_input(),
+        };
+        let messages = self.arrivals.date(read_through_at, received.messages, &state);
+        ReceivedMessages { messages, error: received.error }
     }
 
     /// Updates the times on which the timeouts depend, after a read that brought `messages` complete
@@ -213,18 +221,18 @@
     /// endpoints.
     fn validate(
         &mut self,
-        messages: Vec<ClientMessage>,
-        check_request: impl Fn(&ClientRequest) -> Result<(), Malformed>,
-    ) -> ValidatedMessages {
-        let mut valid = ValidatedMessages::default();
+        messages: Vec<ReceivedMessage>,
+        check_request: impl Fn(&ClientRequest, Micros) -> Result<(), Malformed>,
+    ) -> ReceivedMessages {
+        let mut valid = ReceivedMessages::default();
         let mut streams = TurnStreams {
             begun: FxHashMap::default(),
             cancelled: FxHashSet::default(),
             open: self.open_streams.len(),
             has_counted_begun: false,
         };
-        for message in messages {
-            match &message {
+        for received in messages {
+            match &received.message {
                 ClientMessage::Ready { .. } => {}
                 ClientMessage::Cancel { stream } => {
                     self.record_cancel(*stream, &mut streams, &mut valid.messages);
@@ -240,7 +248,7 @@
                 }
                 ClientMessage::Request { stream, request } => {
                     let checked = self.begin_stream(*stream, streams.open);
-                    if let Err(error) = checked.and_then(|()| check_request(request)) {
+                    if let Err(error) = checked.and_then(|()| check_request(request, received.begun_at)) {
                         valid.error = Some(error);
                         return valid;
                     }
@@ -248,7 +256,7 @@
                     streams.begun.insert(*stream, valid.messages.len());
                 }
             }
-            valid.messages.push(message);
+            valid.messages.push(received);
             if valid.error.is_some() {
                 break;
             }
@@ -259,7 +267,7 @@
     /// Counts a cancellation, and drops its request if that came in the same turn. All such requests of one
     /// turn count as one, because they cost nothing but reading, and many arrive at once after the process
     /// was stopped for a while.
-    fn record_cancel(&mut self, stream: u32, streams: &mut TurnStreams, messages: &mut [ClientMessage]) {
+    fn record_cancel(&mut self, stream: u32, streams: &mut TurnStreams, messages: &mut [ReceivedMessage]) {
         let is_known = streams.begun.contains_key(&stream) || self.open_streams.contains_key(&stream);
         let is_first = is_known && streams.cancelled.insert(stream);
         if is_first {
@@ -268,7 +276,7 @@
         if let Some(index) = streams.begun.remove(&stream) {
             // A cancellation of stream 0, which does not exist, replaces the request, so that the indices of
             // the other messages stay valid.
-            messages[index] = ClientMessage::Cancel { stream: 0 };
+            messages[index].message = ClientMessage::Cancel { stream: 0 };
             self.unanswered_cancels += u32::from(!std::mem::replace(&mut streams.has_counted_begun, true));
         } else if is_first {
             self.unanswered_cancels += 1;
@@ -295,8 +303,7 @@
 
 /// Returns the transfer time of a response of this size, in microseconds, or 0 if the settings contain no
 /// transfer rate.
-fn transfer_time_us(size_kb: f64, settings: &Document) -> f64 {
-    let transfer_rate_kb_per_s = settings.domain.flow_kb_per_s;
+fn transfer_time_us(size_kb: f64, transfer_rate_kb_per_s: f64) -> f64 {
     if transfer_rate_kb_per_s > 0.0 {
         size_kb / transfer_rate_kb_per_s * MICROS_PER_S
     } else {
@@ -306,15 +313,15 @@
 
 /// Returns whether a transfer of this size ends within the maximum client timeout of a class with this
 /// deadline. A request that is too large is well-formed and is rejected without closing the connection.
-pub(super) fn can_transfer_in_time(size_kb: f64, deadline: Micros, settings: &Document) -> bool {
-    transfer_time_us(size_kb, settings) <= longest_timeout(deadline) as f64
+pub(super) fn can_transfer_in_time(size_kb: f64, deadline: Micros, limits: RequestLimits) -> bool {
+    transfer_time_us(size_kb, limits.transfer_rate_kb_per_s) <= longest_timeout(deadline) as f64
 }
 
 /// Checks that a request's class is configured and that its values are in range. `may_lack_key` allows a
 /// missing idempotency key, because the request may have been made when the settings did not require one.
 fn check_request(
     request: &ClientRequest,
-    settings: &Document,
+    limits: RequestLimits,
     class_lookup: ClassLookup,
     may_lack_key: bool,
 ) -> Result<(), Malformed> {
@@ -326,7 +333,7 @@
     if request.timeout_ms == 0 || request.timeout_ms.saturating_mul(MILLISECOND) > longest_timeout(deadline) {
         return Err(Malformed::TimeoutRange);
     }
-    if transfer_time_us(request.size_kb, settings) > MAX_TIME_US as f64 {
+    if transfer_time_us(request.size_kb, limits.transfer_rate_kb_per_s) > MAX_TIME_US as f64 {
         return Err(Malformed::SizeRange);
     }
     if class.idempotency == Idempotency::WithKey && request.idempotency_key.is_none() && !may_lack_key {
@@ -340,7 +347,7 @@
     pub(super) fn client_ready(&mut self, event: Ready) {
         let token = event.token;
         let Some(client) = self.clients.get_mut(&token) else { return };
-        let received = client.read(self.now, &event);
+        let received = client.read(self.now, self.polled_before, &event);
         self.unfinished_reads.record_work(work_of(&received.messages));
         // A client that closes its side has abandoned all its requests, including those just received. It is
         // sent an error only if it violated the protocol.
@@ -355,10 +362,10 @@
         }
         let Some(client) = self.clients.get_mut(&token) else { return };
         let messages = client.deferred.take_with(received.messages);
-        let valid = client.validate(messages, |request| {
-            let class_lookup = self.classes.find(self.now, &request.route);
-            let may_lack_key = self.classes.recently_allowed_no_key(self.now, &request.route);
-            check_request(request, &self.settings, class_lookup, may_lack_key)
+        let valid = client.validate(messages, |request, begun_at| {
+            let class_lookup = self.classes.find(begun_at, &request.route);
+            let may_lack_key = self.classes.recently_allowed_no_key(begun_at, &request.route);
+            check_request(request, self.request_limits.at(begun_at), class_lookup, may_lack_key)
         });
         if let Some(error) = valid.error.or(received.error) {
             self.reject_messages(token, valid.messages);
@@ -384,18 +391,18 @@
 
     /// Returns whether messages wait for the rest of the input: the cancellation of a request among them may
     /// be unread, or may still be on its way because the receive buffer was full.
-    fn defers_messages(&self, token: Token, received: &[ClientMessage]) -> bool {
+    fn defers_messages(&self, token: Token, received: &[ReceivedMessage]) -> bool {
         let Some(client) = self.clients.get(&token) else { return false };
         client.conn.needs_read() && client.deferred.may_grow(received, &self.memory)
     }
 
-    fn defer_messages(&mut self, token: Token, received: Vec<ClientMessage>) {
+    fn defer_messages(&mut self, token: Token, received: Vec<ReceivedMessage>) {
         let Some(client) = self.clients.get_mut(&token) else { return };
         client.deferred.extend(received, &self.memory);
         self.unfinished_reads.push(token);
     }
 
-    fn handle_messages(&mut self, token: Token, messages: Vec<ClientMessage>) {
+    fn handle_messages(&mut self, token: Token, messages: Vec<ReceivedMessage>) {
         for message in messages {
             self.handle_message(token, message);
             // Each message is handled after the router has handled the one before it.
@@ -407,7 +414,8 @@
         self.after_client_write(token);
     }
 
-    fn handle_message(&mut self, token: Token, message: ClientMessage) {
+    fn handle_message(&mut self, token: Token, received: ReceivedMessage) {
+        let ReceivedMessage { begun_at, message } = received;
         let is_ready = self.lifecycle.is_ready();
         let Some(client) = self.clients.get_mut(&token) else { return };
         match message {
@@ -428,7 +436,7 @@
                 if !self.clients.contains(&token) {
                     return;
                 }
-                self.admit_request(token, stream, *request);
+                self.admit_request(token, stream, *request, begun_at);
             }
         }
     }
@@ -477,9 +485,9 @@
 
     /// Rejects the requests that arrived in the same turn as a protocol violation of their client. Each of
     /// them is owed a response, but no attempt is made for them.
-    fn reject_messages(&mut self, token: Token, messages: Vec<ClientMessage>) {
-        for message in messages {
-            match message {
+    fn reject_messages(&mut self, token: Token, messages: Vec<ReceivedMessage>) {
+        for received in messages {
+            match received.message {
                 ClientMessage::Request { stream, request } => {
                     self.count_rejected(&request.route);
                     if !self.clients.contains(&token) {
@@ -487,7 +495,7 @@
                     }
                     self.write_unadmitted(token, stream, &Response::Rejected { retry_after_ms: 0 });
                 }
-                other => self.handle_message(token, other),
+                _ => self.handle_message(token, received),
             }
         }
     }
--- a/src/proxy/configuration.rs
+++ b/src/proxy/configuration.rs
@@ -171,6 +171,7 @@
     /// Assigns numbers and counters to the classes of the settings.
     pub(super) fn adopt_classes(&mut self) {
         self.classes.apply(self.now, &self.settings);
+        self.request_limits.apply(self.now, &self.settings);
         for class in &self.settings.classes {
             self.admin_metrics.class(&class.name);
         }
--- a/src/proxy/deferred_messages.rs
+++ b/src/proxy/deferred_messages.rs
@@ -4,6 +4,7 @@
 //! requests at the front of it, so requests wait for the turns that read the rest; the number of turns and of messages is
 //! limited, and their memory is counted in the budget. The owner is [`super::clients::Client`].
 
+use super::arrival_times::ReceivedMessage;
 use crate::net::memory::{MemoryBudget, MemoryUse, Reservation};
 use crate::net::protocol::frames::ClientMessage;
 
@@ -15,7 +16,7 @@
 /// Deferred messages of one client.
 #[derive(Default)]
 pub(super) struct DeferredMessages {
-    messages: Vec<ClientMessage>,
+    messages: Vec<ReceivedMessage>,
     memory: Reservation,
     turns: u32,
 }
@@ -27,14 +28,15 @@
 
     /// Returns whether messages may be deferred for another turn together with those that are: there is a request among
     /// them, and the budget allows the memory of the new ones.
-    pub(super) fn may_grow(&self, received: &[ClientMessage], budget: &MemoryBudget) -> bool {
-        let is_request = |message: &ClientMessage| matches!(message, ClientMessage::Request { .. });
+    pub(super) fn may_grow(&self, received: &[ReceivedMessage], budget: &MemoryBudget) -> bool {
+        let is_request =
+            |received: &ReceivedMessage| matches!(received.message, ClientMessage::Request { .. });
         let has_request = self.messages.iter().chain(received).any(is_request);
         let is_within_limits = self.turns < MAX_TURNS && self.messages.len() + received.len() <= MAX_MESSAGES;
         has_request && is_within_limits && budget.allows(MemoryUse::Request, memory_bytes(received))
     }
 
-    pub(super) fn extend(&mut self, received: Vec<ClientMessage>, budget: &MemoryBudget) {
+    pub(super) fn extend(&mut self, received: Vec<ReceivedMessage>, budget: &MemoryBudget) {
         let bytes = self.memory.bytes() + memory_bytes(&received);
         self.memory = budget.reserve(bytes);
         self.turns += 1;
@@ -42,20 +44,20 @@
     }
 
     /// Removes the deferred messages and returns them followed by those received since.
-    pub(super) fn take_with(&mut self, received: Vec<ClientMessage>) -> Vec<ClientMessage> {
+    pub(super) fn take_with(&mut self, received: Vec<ReceivedMessage>) -> Vec<ReceivedMessage> {
         let mut messages = std::mem::take(self).messages;
         messages.extend(received);
         messages
     }
 }
 
-fn memory_bytes(messages: &[ClientMessage]) -> usize {
-    let content = |message: &ClientMessage| match message {
+fn memory_bytes(messages: &[ReceivedMessage]) -> usize {
+    let content = |received: &ReceivedMessage| match &received.message {
         ClientMessage::Request { request, .. } => request.memory_bytes(),
         ClientMessage::DiscardedRequest { .. }
         | ClientMessage::Ready { .. }
         | ClientMessage::Cancel { .. } => 0,
     };
     // A vector that grows has up to twice the room that it uses.
-    messages.iter().map(|message| 2 * size_of::<ClientMessage>() + content(message)).sum()
+    messages.iter().map(|received| 2 * size_of::<ReceivedMessage>() + content(received)).sum()
 }
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -6,6 +6,7 @@
 //! sockets.
 
 mod admin;
+mod arrival_times;
 mod attempts;
 mod client_admission;
 mod client_table;
@@ -54,7 +55,7 @@
 use self::timers::{TimerEvent, MILLISECOND};
 use self::unfinished_reads::{TurnEvent, UnfinishedReads};
 use crate::admin::Metrics as AdminMetrics;
-use crate::config::settings::{ClassTable, Document};
+use crate::config::settings::{ClassTable, Document, RequestLimitsHistory};
 use crate::lifecycle::Lifecycle;
 use crate::local_cache::LocalCache;
 use crate::net::bounds::Bounds;
@@ -101,10 +102,13 @@
     timestamps: Timestamps,
     /// Time at which the current turn of the event loop started handling input.
     now: Micros,
+    /// Time of the poll before the current turn's: input that the current one reports has arrived since.
+    polled_before: Micros,
     name: String,
     configuration: Configuration,
     settings: Document,
     classes: ClassTable,
+    request_limits: RequestLimitsHistory,
     bounds: Bounds,
     /// Budget of what is held for peers: messages, requests and responses.
     memory: MemoryBudget,
@@ -173,6 +177,7 @@
         let wait = if has_work { 0 } else { next_timer.saturating_sub(started) };
         let mut ready = std::mem::take(&mut self.ready);
         self.event_loop.wait(Duration::from_micros(wait), &mut ready)?;
+        self.polled_before = self.now;
         self.now = self.clock.now();
         self.handle_input(&mut ready);
         self.ready = ready;
--- a/src/proxy/requests.rs
+++ b/src/proxy/requests.rs
@@ -70,7 +70,6 @@
         stream: u32,
         admission: Admission,
         deadline: Micros,
-        max_attempts: u32,
         memory: Reservation,
     ) -> Self {
         ActiveRequest {
@@ -80,7 +79,7 @@
             deadline,
             is_finished: false,
             attempts_started: 0,
-            max_attempts,
+            max_attempts: admission.max_attempts,
             attempt: None,
             class: admission.class,
             metrics_class: admission.metrics_class,
@@ -241,6 +240,7 @@
     class: usize,
     metrics_class: usize,
     repeat_policy: RepeatPolicy,
+    max_attempts: u32,
 }
 
 /// Returns the router's event for a request; `timeout` is the time that the router has for it.
@@ -258,9 +258,16 @@
 }
 
 impl Proxy {
-    /// Admits a request that was read from a client, or rejects it.
-    pub(super) fn admit_request(&mut self, client: Token, stream: u32, request: ClientRequest) {
-        let class_lookup = self.classes.find(self.now, &request.route);
+    /// Admits a request that was read from a client and began at `begun_at`, or rejects it.
+    pub(super) fn admit_request(
+        &mut self,
+        client: Token,
+        stream: u32,
+        request: ClientRequest,
+        begun_at: Micros,
+    ) {
+        let class_lookup = self.classes.find(begun_at, &request.route);
+        let limits = self.request_limits.at(begun_at);
         invariant!(
             class_lookup != ClassLookup::Unknown,
             "a request's route is validated before the request is admitted"
@@ -270,7 +277,7 @@
         let needs_key = |class: &Class| class.idempotency == Idempotency::WithKey;
         let lacks_key = |class: &Class| needs_key(class) && request.idempotency_key.is_none();
         let is_too_large = matches!(class_lookup, ClassLookup::Found { deadline, .. }
-            if !can_transfer_in_time(request.size_kb, deadline, &self.settings));
+            if !can_transfer_in_time(request.size_kb, deadline, limits));
         let admissible = class_lookup.class().filter(|found| !is_too_large && !lacks_key(found.1));
         let Some((class, _)) = admissible else {
             // The class was removed or requires a key by now, or no transfer of this size ends in time. A
@@ -278,7 +285,7 @@
             self.write_unadmitted(client, stream, &Response::Rejected { retry_after_ms: 0 });
             return self.admin_metrics.request_ended(metrics_class, EndStatus::Overload);
         };
-        let repeat_policy = self.classes.repeat_policy(self.now, class, request.idempotency_key.is_some());
+        let repeat_policy = self.classes.repeat_policy(begun_at, class, request.idempotency_key.is_some());
         let id: Id = request.request_id.as_str().into();
         if self.requests.contains(&id) {
             // Attempts and responses are matched by the request id, which belongs to the first request. This
@@ -289,7 +296,8 @@
         self.metrics.requests += 1;
         debug!(self.log, "request"; "request" => %id, "class" => class, "timeout_ms" => request.timeout_ms,
                "size_kb" => request.size_kb, "object" => %request.object.0, "chunk" => request.chunk);
-        let admission = Admission { class, metrics_class, repeat_policy };
+        let max_attempts = limits.max_attempts;
+        let admission = Admission { class, metrics_class, repeat_policy, max_attempts };
         self.begin_request(id, client, stream, request, admission);
     }
 
@@ -307,9 +315,9 @@
         let event = request_event(&id, &request, &admission, router_timeout);
         let has_capacity = self.has_capacity_for(&request);
         self.classes.request_opened(admission.class);
-        let (deadline, max_attempts) = (self.now + router_timeout, self.settings.limits.max_attempts);
+        let deadline = self.now + router_timeout;
         let memory = self.memory.reserve(ActiveRequest::memory_bytes(&request));
-        let active = ActiveRequest::new(request, client, stream, admission, deadline, max_attempts, memory);
+        let active = ActiveRequest::new(request, client, stream, admission, deadline, memory);
         self.requests.insert(id.clone(), active);
         if let Some(client) = self.clients.get_mut(&client) {
             client.open_streams.insert(stream, id.clone());
--- a/src/proxy/start.rs
+++ b/src/proxy/start.rs
@@ -18,7 +18,7 @@
 use crate::admin::Metrics as AdminMetrics;
 use crate::config::platform::Config;
 use crate::config::product::{Product, RegistrySettings};
-use crate::config::settings::ClassTable;
+use crate::config::settings::{ClassTable, RequestLimitsHistory};
 use crate::lifecycle::Lifecycle;
 use crate::local_cache::LocalCache;
 use crate::net::bounds::Bounds;
@@ -170,8 +170,10 @@
             timestamps: clock.timestamps(),
             clock,
             now,
+            polled_before: now,
             name: config.name,
             configuration,
+            request_limits: RequestLimitsHistory::new(&config.settings),
             settings: config.settings,
             classes,
             bounds,
--- a/src/proxy/takeover.rs
+++ b/src/proxy/takeover.rs
@@ -347,6 +347,8 @@
             identity: takeover.files.identity.clone(),
             purges: self.purges_in_force(),
             written_ms: Some(self.timestamps.unix_ms(self.now)),
+            classes: self.classes.known(self.now),
+            limits: self.request_limits.known(self.now),
         };
         if let Err(error) = takeover.files.write_state(&state) {
             warn!(self.log, "takeover state for the successor not written"; "error" => %error);
@@ -384,6 +386,10 @@
             let scope = object.map_or(Purge::Group(group), Purge::Object);
             self.execute(Command::Purge { scope, when_ms: purged_ms });
         }
+        // Clients may make requests by the settings that the predecessor had.
+        self.request_limits.inherit(self.now, &state.limits);
+        self.classes.inherit(self.now, state.classes);
+        self.announce_settings();
     }
 
     /// Announces that this process serves clients, and resumes accepting.
--- a/src/proxy/tests/handover.rs
+++ b/src/proxy/tests/handover.rs
@@ -102,3 +102,43 @@
     assert!(purge_received && new.proxy.has_other_process());
     std::fs::remove_dir_all(folder).unwrap();
 }
+
+/// Guards against clients of the settings before a reload that the successor answers with protocol errors: it started
+/// without the classes and limits that the reload had changed.
+#[test]
+fn classes_that_a_reload_has_changed_are_handed_to_the_successor() {
+    let folder = std::env::temp_dir().join(format!("larchdale-{}-classes", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let keyed = |config: &mut serde_json::Value| {
+        config["settings"]["classes"][0]["semantics"] = "deduplicated".into();
+        config["settings"]["classes"][1]["name"] = "other".into();
+        config["settings"]["limits"]["max-attempts"] = 2.into();
+    };
+    let (mut old, mut new) = (Harness::new(), Harness::with(keyed));
+    let identity = Identity { name: "t".into(), listen: old.proxy.configuration.listen };
+    let files = || TakeoverFiles::new(folder.clone(), identity.clone());
+    old.proxy.takeover = Some(Takeover::new(files(), None, false, &mut old.proxy.event_loop));
+    old.proxy.begin_serving();
+    let mut config = old.config.clone();
+    keyed(&mut config);
+    assert!(old.reconfigure("handover", &config.to_string()));
+    old.skip(500 * MILLISECOND);
+    let (successor_files, log) = (files(), old.proxy.log.clone());
+    let search = std::thread::spawn(move || predecessor::find(&successor_files, &log).unwrap());
+    old.wait_until("the next process", |proxy| proxy.has_other_process().then_some(()));
+    new.proxy.takeover =
+        Some(Takeover::new(files(), search.join().unwrap(), false, &mut new.proxy.event_loop));
+    new.proxy.inherit_state();
+    new.proxy.process_events();
+    new.skip(500 * MILLISECOND);
+    let mut client = new.connect_client();
+    client.write(&request(1, 1, "clip"));
+    assert_eq!(new.read_frame(&mut client), (8, 1, vec![50, 0]), "without the key that it does not know of");
+    client.write(&request(2, 2, "page"));
+    let mut cache = new.accept_cache();
+    assert_eq!(new.read_command(&mut cache)[1], request_id(2), "the dropped class is still served");
+    new.skip(1_000 * MILLISECOND);
+    client.write(&request(3, 3, "clip"));
+    new.wait_until("the protocol error", |proxy| (proxy.metrics.client_protocol_errors == 1).then_some(()));
+    std::fs::remove_dir_all(folder).unwrap();
+}
--- a/src/proxy/tests/memory.rs
+++ b/src/proxy/tests/memory.rs
@@ -14,6 +14,11 @@
 /// Number of requests that each of the clients which don't read has open.
 const OPEN_REQUESTS: u32 = 30;
 
+/// Number of turns for which clients go on without reading after the first upstream was paused.
+const TURNS_WITHOUT_READING: u32 = 50;
+/// Real time in which a client can fill the system's buffers of a connection that is not read.
+const FILL_TIME: Duration = Duration::from_millis(300);
+
 /// Starts a proxy with a small memory limit.
 fn small() -> Harness {
     Harness::with(|config| config["limits"]["memory_mb"] = MEMORY_MB.into())
@@ -113,6 +118,12 @@
             stream.write_all(&large_request(number, number)).unwrap();
         }
     });
+    let token = harness.proxy.clients.tokens()[0];
+    harness.proxy.clients.get_mut(&token).unwrap().conn.pause(true);
+    std::thread::sleep(FILL_TIME);
+    harness.proxy.turn().unwrap();
+    harness.proxy.clients.get_mut(&token).unwrap().conn.pause(false);
+    harness.proxy.unfinished_reads.push(token);
     let mut answered = 0;
     client.stream.set_nonblocking(true).unwrap();
     harness.wait_until("an answer or an attempt for each request", |proxy| {
@@ -153,7 +164,7 @@
     let listener = harness.cache.try_clone().unwrap();
     let mut caches: Vec<(Peer, Vec<u8>)> = Vec::new();
     let (mut asked, mut answered, mut served) = (0, 0, 0);
-    let mut is_reading = false;
+    let (mut is_reading, mut turns_paused) = (false, 0);
     harness.wait_until("all responses", |proxy| {
         assert!(proxy.memory.used() <= proxy.memory.limit() + BODY_OF_RESPONSE, "{}", proxy.memory.used());
         caches.extend(listener.accept().ok().map(|accepted| (Peer::new(accepted.0), Vec::new())));
@@ -166,7 +177,8 @@
             let written = cache.stream.write(output).unwrap_or(0);
             output.drain(..written);
         }
-        is_reading |= proxy.metrics.paused_upstream_reads > 0;
+        turns_paused += u32::from(proxy.metrics.paused_upstream_reads > 0);
+        is_reading |= turns_paused > TURNS_WITHOUT_READING;
         for peer in peers.iter_mut().filter(|_| is_reading) {
             peer.read_available();
             while let Some((code, body_length)) = take_response(&mut peer.received) {
--- a/src/proxy/tests/processes.rs
+++ b/src/proxy/tests/processes.rs
@@ -336,6 +336,120 @@
     assert_eq!(harness.read_frame(&mut client).1, 1);
 }
 
+/// Clients learn of new settings up to 1.2 s after the reload; this one begins to write before, and takes long.
+const BEGUN_AFTER_RELOAD: Micros = 700 * MILLISECOND;
+const WRITTEN_FOR: Micros = 1_900 * MILLISECOND;
+
+impl Harness {
+    /// Has a request of a new client answered. Returns the client and the cache's end of the connection.
+    fn answer_a_request(&mut self) -> (Peer, Peer) {
+        let (mut client, mut cache, _) = self.forward_request();
+        cache.write(&response(&request_id(1), "ok", "-", "x"));
+        self.read_frame(&mut client);
+        (client, cache)
+    }
+
+    /// Writes the first half of a request some time after a reload, and the rest once no client makes such requests any
+    /// more.
+    fn write_slowly(&mut self, client: &mut Peer, bytes: &[u8]) {
+        self.skip(BEGUN_AFTER_RELOAD);
+        let (first, rest) = bytes.split_at(bytes.len() / 2);
+        client.write(first);
+        self.wait_until("the first half", |proxy| {
+            proxy.clients.values().any(|client| client.has_partial_message()).then_some(())
+        });
+        self.skip(WRITTEN_FOR);
+        client.write(rest);
+    }
+}
+
+const _: () =
+    assert!(BEGUN_AFTER_RELOAD + WRITTEN_FOR > crate::config::settings::DROPPED_CLASS_SERVED_FOR_US);
+
+/// Guards against a request that is made by the settings before a reload, read after the time for such requests, and
+/// answered by a protocol error alone (review/8).
+#[test]
+fn a_request_begun_before_its_class_became_keyed_is_rejected_however_slowly_it_is_written() {
+    let mut harness = Harness::new();
+    let (mut client, _cache) = harness.answer_a_request();
+    harness.reload_settings("keyed", |s| s["classes"][0]["semantics"] = "deduplicated".into());
+    harness.write_slowly(&mut client, &request(2, 2, "clip"));
+    assert_eq!(harness.read_frame(&mut client), (8, 2, vec![50, 0]));
+    client.write(&request(3, 3, "clip"));
+    assert_eq!(harness.read_frame(&mut client).1, 0, "one that begins now is a protocol error");
+}
+
+/// Guards against the same where reading was paused, or the process was stopped, when the request arrived.
+#[test]
+fn a_request_that_lay_unread_since_before_its_class_became_keyed_is_rejected() {
+    let mut harness = Harness::new();
+    let (mut client, _cache) = harness.answer_a_request();
+    harness.reload_settings("keyed", |s| s["classes"][0]["semantics"] = "deduplicated".into());
+    client.write(&request(2, 2, "clip"));
+    harness.proxy.clock.skip(2_000 * MILLISECOND);
+    assert_eq!(harness.read_frame(&mut client), (8, 2, vec![50, 0]));
+    let mut paused = harness.connect_client();
+    paused.write(&frame(1, 0, &fields(&[])));
+    harness.read_frame(&mut paused);
+    harness.reload_settings("paused", |_| {});
+    harness.reload_settings("paused", |s| s["classes"][0]["semantics"] = "deduplicated".into());
+    let tokens = harness.proxy.clients.tokens();
+    for token in &tokens {
+        harness.proxy.clients.get_mut(token).unwrap().conn.pause(true);
+    }
+    paused.write(&request(1, 4, "clip"));
+    harness.skip(1_000 * MILLISECOND);
+    harness.skip(1_000 * MILLISECOND);
+    for token in &tokens {
+        harness.proxy.clients.get_mut(token).unwrap().conn.pause(false);
+        harness.proxy.unfinished_reads.push(*token);
+    }
+    assert_eq!(harness.read_frame(&mut paused), (8, 1, vec![50, 0]));
+}
+
+/// Guards against the same for a class that is dropped, and for a shorter deadline: such requests are served.
+#[test]
+fn a_request_begun_before_its_class_was_dropped_or_shortened_is_served() {
+    let drop_class = |s: &mut serde_json::Value| s["classes"][0]["name"] = "other".into();
+    let shorten = |s: &mut serde_json::Value| s["classes"][0]["deadline-us"] = 300_000.into();
+    let changes: [fn(&mut serde_json::Value); 2] = [drop_class, shorten];
+    for change in changes {
+        let mut harness = Harness::new();
+        let (mut client, mut cache) = harness.answer_a_request();
+        harness.reload_settings("dropped", change);
+        harness.write_slowly(&mut client, &request(2, 2, "clip"));
+        assert_eq!(harness.read_command(&mut cache)[1], request_id(2));
+    }
+}
+
+/// Guards against a request that runs twice, or in more attempts than the settings allowed when its client made it.
+#[test]
+fn a_request_begun_before_a_reload_is_repeated_only_as_the_earlier_settings_allow() {
+    let mut harness = Harness::with(|c| c["settings"]["classes"][0]["semantics"] = "at_most_once".into());
+    let (mut client, mut cache) = harness.answer_a_request();
+    harness.reload_settings("looser", |s| s["classes"][0]["semantics"] = "idempotent".into());
+    harness.write_slowly(&mut client, &request(2, 2, "clip"));
+    assert_eq!(harness.read_command(&mut cache)[1], request_id(2));
+    cache.write(&response(&request_id(2), "error", "-", ""));
+    assert_eq!(harness.read_frame(&mut client), (8, 2, vec![51, 0]));
+
+    let mut harness = Harness::with(|c| c["settings"]["limits"]["max-attempts"] = 1.into());
+    let (mut client, mut cache) = harness.answer_a_request();
+    harness.reload_settings("attempts", |s| s["limits"]["max-attempts"] = 6.into());
+    harness.write_slowly(&mut client, &request(2, 2, "clip"));
+    assert_eq!(harness.read_command(&mut cache)[1], request_id(2));
+    cache.write(&response(&request_id(2), "refused", "-", ""));
+    harness.wait_until("the end of the request", |proxy| {
+        (!proxy.requests.contains(&request_id(2).as_str().into())).then_some(())
+    });
+    let attempts = harness.outcomes().len();
+    assert!(
+        attempts <= 3,
+        "one attempt of each request, and one that was never sent: {:?}",
+        harness.outcomes()
+    );
+}
+
 /// Two requests wait for one dial when new settings allow one request per connection.
 #[test]
 fn a_multiplex_limit_lowered_during_a_dial_is_kept_when_the_dial_completes() {
--- a/src/proxy/unfinished_reads.rs
+++ b/src/proxy/unfinished_reads.rs
@@ -6,6 +6,7 @@
 #[cfg(test)]
 mod tests;
 
+use super::arrival_times::ReceivedMessage;
 use crate::net::event_loop::Ready;
 use crate::net::protocol::frames::ClientMessage;
 use mio::Token;
@@ -20,8 +21,8 @@
 const REQUEST_WORK: usize = 32;
 
 /// Returns the work of handling messages.
-pub(super) fn work_of(messages: &[ClientMessage]) -> usize {
-    let work = |message: &ClientMessage| match message {
+pub(super) fn work_of(messages: &[ReceivedMessage]) -> usize {
+    let work = |received: &ReceivedMessage| match received.message {
         ClientMessage::Request { .. } => REQUEST_WORK,
         ClientMessage::DiscardedRequest { .. }
         | ClientMessage::Ready { .. }
--- a/src/routing/events.rs
+++ b/src/routing/events.rs
@@ -2,6 +2,7 @@
 //!
 //! Times and durations are whole microseconds of one monotonic clock.
 
+use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
 pub use super::constraints::Constraints;
@@ -25,7 +26,7 @@
 }
 
 /// Effect of executing a request more than once, the least restrictive first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 pub enum Idempotency {
     /// Safe to repeat.
     Idempotent,
@@ -36,7 +37,7 @@
 }
 
 /// The endpoints that discard repeats of a request that another of them has run, the widest scope first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 pub enum DeduplicationScope {
     /// All endpoints.
     All,
@@ -58,8 +59,8 @@
     Silent,
 }
 
-/// One class of requests.
-#[derive(Clone, Debug, PartialEq)]
+/// One class of requests. Its form is stored in the takeover state.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Class {
     /// Time for which a copy is fresh; 0: unlimited.
     pub fresh_for: Micros,
--- a/src/takeover/state.rs
+++ b/src/takeover/state.rs
@@ -1,6 +1,7 @@
 //! The state that a process hands over to its successor in a file: a header line with version and checksum, then JSON.
 
 use super::{Identity, VERSION};
+use crate::config::settings::{KnownClass, KnownLimits};
 use serde::{Deserialize, Serialize};
 
 /// Maximum size of a state file in bytes.
@@ -36,7 +37,7 @@
 }
 
 /// The state that is handed over in the file.
-#[derive(Clone, Debug, Deserialize, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct TakeoverState {
     /// Instance to which the state belongs.
     #[serde(rename = "who")]
@@ -48,6 +49,13 @@
     /// two processes.
     #[serde(default)]
     pub written_ms: Option<u64>,
+    /// Classes that clients may know, also those that a reload has changed or dropped; empty in files of versions without
+    /// this field.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub classes: Vec<KnownClass>,
+    /// Limits of requests that clients may know; empty in files of versions without this field.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub limits: Vec<KnownLimits>,
 }
 
 /// Why a state file is rejected.
--- a/src/takeover/tests.rs
+++ b/src/takeover/tests.rs
@@ -56,6 +56,8 @@
             PurgeInForce { object: None, group: 255, purged_ms: 1 },
         ],
         written_ms: None,
+        classes: Vec::new(),
+        limits: Vec::new(),
     };
     let file = state.encode();
     assert_eq!(TakeoverState::decode(&file, &identity("n0")), Ok(state));
--- a/tests/stored_forms.rs
+++ b/tests/stored_forms.rs
@@ -6,6 +6,7 @@
 mod fixtures;
 
 use fixtures::same_as_stored;
+use larchdale::config::settings::{KnownClass, KnownLimits, RequestLimits};
 use larchdale::gossip::message as gossip;
 use larchdale::placement::load::Work;
 use larchdale::placement::map::{Shard, ShardMap};
@@ -297,11 +298,43 @@
             PurgeInForce { object: None, group: 17, purged_ms: NOW_UNIX_MS + 1 },
         ],
         written_ms: Some(NOW_UNIX_MS + 2),
+        classes: Vec::new(),
+        limits: Vec::new(),
     };
     let bytes = same_as_stored("stored/handover.state", &state.encode());
     assert_eq!(takeover::TakeoverState::decode(&bytes, &identity()).unwrap(), state);
 }
 
+#[test]
+fn the_classes_and_limits_of_a_takeover_state_keep_their_bytes_and_are_read_back() {
+    let class = Class {
+        fresh_for: 12_000_000,
+        grace: 10_000_000,
+        uncacheable: false,
+        latency_objective: 250_000,
+        latency_objective_stretch: 1.5,
+        idempotency: Idempotency::WithKey,
+        deduplication_scope: DeduplicationScope::Cell,
+        deduplication_window: 6_000_000,
+    };
+    let known = |name: &str, dropped_for| KnownClass {
+        name: name.to_owned(),
+        deadline: 2_500_000,
+        class: class.clone(),
+        dropped_for,
+    };
+    let limits = RequestLimits { max_attempts: 6, transfer_rate_kb_per_s: 8500.0 };
+    let state = takeover::TakeoverState {
+        identity: identity(),
+        purges: Vec::new(),
+        written_ms: Some(NOW_UNIX_MS),
+        classes: vec![known("images", None), known("edits", Some(700_000))],
+        limits: vec![KnownLimits { limits, replaced_for: 700_000 }],
+    };
+    let bytes = same_as_stored("stored/handover-classes.state", &state.encode());
+    assert_eq!(takeover::TakeoverState::decode(&bytes, &identity()).unwrap(), state);
+}
+
 #[test]
 fn the_lines_of_a_takeover_keep_their_bytes_and_are_read_back() {
     let from_successor = [
