Log lines that clients and endpoints can cause at will are limited to ten a second each

Cause: each protocol error, malformed response, failed dial and failed accept logged a line.

Change: proxy/log_limit.rs admits ten lines a second of each kind; the next line tells how many were suppressed. The counters are as before.

--- a/src/proxy/client_admission.rs
+++ b/src/proxy/client_admission.rs
@@ -57,7 +57,9 @@
                     Failure::Empty => return,
                     Failure::ConnectionLost => self.metrics.accept_failures += 1,
                     reason @ (Failure::NoDescriptor | Failure::NoResources) => {
-                        warn!(self.log, "accept failed"; "error" => %error);
+                        if let Some(suppressed) = self.log_limits.accept_failures.admit(self.now) {
+                            warn!(self.log, "accept failed"; "error" => %error, "suppressed" => suppressed);
+                        }
                         return self.accept_failed(reason);
                     }
                 },
@@ -93,7 +95,9 @@
     }
 
     fn keep_unregistered(&mut self, stream: TcpStream, error: &io::Error) {
-        warn!(self.log, "accepted connection not registered yet"; "error" => %error);
+        if let Some(suppressed) = self.log_limits.accept_failures.admit(self.now) {
+            warn!(self.log, "accepted connection not registered yet"; "error" => %error, "suppressed" => suppressed);
+        }
         if self.listener.unregistered.len() < MAX_ACCEPTS_PER_TURN {
             self.listener.unregistered.push(stream);
         }
--- a/src/proxy/clients.rs
+++ b/src/proxy/clients.rs
@@ -474,7 +474,10 @@
     fn refuse_client(&mut self, token: Token, error: Malformed) {
         self.metrics.client_protocol_errors += 1;
         let open = self.clients.get(&token).map(|client| client.open_streams.len());
-        warn!(self.log, "client violated the protocol"; "reason" => %error, "open_requests" => open);
+        if let Some(suppressed) = self.log_limits.client_errors.admit(self.now) {
+            warn!(self.log, "client violated the protocol"; "reason" => %error, "open_requests" => open,
+                  "suppressed" => suppressed);
+        }
         let Some(client) = self.clients.get_mut(&token) else { return };
         client.conn.discard_input();
         client.message_awaited_since = None;
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -22,6 +22,7 @@
 mod gossip;
 mod housekeeping;
 mod local_cache;
+mod log_limit;
 mod memory_pressure;
 mod message_buffer;
 mod metrics;
@@ -49,6 +50,7 @@
 use self::discovery::Discovery;
 use self::housekeeping::SWEEP_INTERVAL;
 use self::metrics::Metrics;
+use self::log_limit::LogLimits;
 use self::purges::RecentPurges;
 use self::requests::ActiveRequests;
 use self::takeover::Takeover;
@@ -99,6 +101,7 @@
     log: Logger,
     clock: Clock,
     /// Converts Unix timestamps of other processes to the local clock.
+    log_limits: LogLimits,
     timestamps: Timestamps,
     /// Time at which the current turn of the event loop started handling input.
     now: Micros,
--- a/src/proxy/start.rs
+++ b/src/proxy/start.rs
@@ -6,6 +6,7 @@
 use super::client_table::Clients;
 use super::configuration::Configuration;
 use super::discovery::Discovery;
+use super::log_limit::LogLimits;
 use super::metrics::Metrics;
 use super::predecessor;
 use super::purges::RecentPurges;
@@ -168,6 +169,7 @@
         Proxy {
             log,
             timestamps: clock.timestamps(),
+            log_limits: LogLimits::default(),
             clock,
             now,
             polled_before: now,
--- a/src/proxy/upstreams.rs
+++ b/src/proxy/upstreams.rs
@@ -43,7 +43,10 @@
             }
             Err(error) => {
                 self.metrics.failed_dials += 1;
-                warn!(self.log, "upstream dial failed"; "endpoint" => %endpoint, "error" => %error);
+                if let Some(suppressed) = self.log_limits.dial_failures.admit(self.now) {
+                    warn!(self.log, "upstream dial failed"; "endpoint" => %endpoint, "error" => %error,
+                          "suppressed" => suppressed);
+                }
                 None
             }
         }
@@ -95,7 +98,9 @@
         }
         if let Some(error) = received.error {
             self.metrics.upstream_protocol_errors += 1;
-            warn!(self.log, "malformed upstream response"; "reason" => %error);
+            if let Some(suppressed) = self.log_limits.upstream_errors.admit(self.now) {
+                warn!(self.log, "malformed upstream response"; "reason" => %error, "suppressed" => suppressed);
+            }
             return self.close_upstream(token);
         }
         self.after_upstream_read(token);
@@ -134,7 +139,10 @@
         let is_stalled = upstream.conn.has_partial_message() && !upstream.conn.is_paused();
         if is_stalled && idle >= RESPONSE_STALL_TIMEOUT {
             self.metrics.upstream_protocol_errors += 1;
-            warn!(self.log, "incomplete upstream response"; "endpoint" => %upstream.endpoint);
+            if let Some(suppressed) = self.log_limits.upstream_errors.admit(self.now) {
+                warn!(self.log, "incomplete upstream response"; "endpoint" => %upstream.endpoint,
+                      "suppressed" => suppressed);
+            }
             self.close_upstream(token);
         }
     }
