A request id that comes again is judged by its first run, and is not ended by timers of an earlier request

What callers saw: an edit that may run once ran twice when its id came again on a new connection after its client had left and the first attempt had ended; a request whose id came again was ended by the deadline of the earlier one. Requests that end at once left their deadline timers for as long as the client had said it would wait: memory without end at full speed.

Cause: an active request was known by its id alone, and nothing was known of it once it had ended.

Timers carry the number of their request, and those of ended requests are removed once 4,096 are set.

Open: an id that comes again at the other process of a takeover.

--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -73,6 +73,11 @@
         self.heap.pop().map(|Reverse((at, _, payload))| (at, payload.0))
     }
 
+    /// Removes the timers whose payload does not satisfy `is_needed`.
+    pub fn retain(&mut self, is_needed: impl Fn(&T) -> bool) {
+        self.heap.retain(|Reverse((_, _, payload))| is_needed(&payload.0));
+    }
+
     /// Returns the number of timers that are set.
     pub fn len(&self) -> usize {
         self.heap.len()
--- a/src/proxy/attempts.rs
+++ b/src/proxy/attempts.rs
@@ -31,7 +31,9 @@
             return self.report_outcome(&id, number, self.now, AttemptStatus::NeverSent.into());
         }
         self.metrics.attempts += 1;
-        self.timers.set(deadline, TimerEvent::AttemptDeadline(id.clone(), number));
+        if let Some(key) = self.requests.key(&id) {
+            self.timers.set(deadline, TimerEvent::AttemptDeadline(key, number));
+        }
         let choice = self.choose_connection(&id, &endpoint);
         let connection = match choice {
             Choice::Use(token) | Choice::Wait(token) => Some(token),
@@ -265,7 +267,7 @@
     pub(super) fn finish_attempt(&mut self, id: &Id, result: AttemptResult) {
         let Some(active) = self.requests.get_mut(id) else { return };
         let Some(attempt) = active.attempt.take() else { return };
-        if result.status.may_have_run() {
+        if result.status.may_have_run() || result.status == AttemptStatus::Served {
             active.first_execution = active.first_execution.or(attempt.execution);
         }
         let source = attempt.fetch.as_ref().map(|fetch| &fetch.source);
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -30,6 +30,7 @@
 mod purge_log;
 mod purges;
 mod rebalancing;
+mod recent_executions;
 mod requests;
 mod shard_capacity;
 mod start;
@@ -49,12 +50,13 @@
 use self::configuration::Configuration;
 use self::discovery::Discovery;
 use self::housekeeping::SWEEP_INTERVAL;
-use self::metrics::Metrics;
 use self::log_limit::LogLimits;
+use self::metrics::Metrics;
 use self::purges::RecentPurges;
+use self::recent_executions::RecentExecutions;
 use self::requests::ActiveRequests;
 use self::takeover::Takeover;
-use self::timers::{TimerEvent, MILLISECOND};
+use self::timers::{TimerCompaction, TimerEvent, MILLISECOND};
 use self::unfinished_reads::{TurnEvent, UnfinishedReads};
 use crate::admin::Metrics as AdminMetrics;
 use crate::config::settings::{ClassTable, Document, RequestLimitsHistory};
@@ -99,9 +101,9 @@
 /// One instance of the router process with all its sockets and state.
 pub struct Proxy {
     log: Logger,
+    log_limits: LogLimits,
     clock: Clock,
     /// Converts Unix timestamps of other processes to the local clock.
-    log_limits: LogLimits,
     timestamps: Timestamps,
     /// Time at which the current turn of the event loop started handling input.
     now: Micros,
@@ -118,6 +120,7 @@
     lifecycle: Lifecycle,
     event_loop: EventLoop,
     timers: Timers<TimerEvent>,
+    timer_compaction: TimerCompaction,
     /// Sockets that are ready; the vector is reused across turns.
     ready: Vec<Ready>,
     /// Sockets that had more to read or accept than one turn handles.
@@ -131,6 +134,7 @@
     listener: ClientListener,
     clients: Clients,
     requests: ActiveRequests,
+    recent_executions: RecentExecutions,
     pool: Pool,
     /// Upstream connections that are not read until memory is released.
     paused_upstreams: Vec<Token>,
@@ -204,6 +208,7 @@
             self.handle_or_postpone(event);
         }
         self.resume_upstream_reads();
+        self.compact_timers();
         if std::mem::take(&mut self.discovery.has_more) {
             self.run_registry();
             self.process_events();
@@ -283,12 +288,16 @@
     fn handle_timer(&mut self, timer: TimerEvent) {
         match timer {
             TimerEvent::Router(token) => self.events.push_back(Event::Timer { token }),
-            TimerEvent::AttemptDeadline(id, number) => {
-                if self.requests.has_attempt(&id, number) {
-                    self.cancel_attempt(&id, AttemptStatus::TimedOut);
+            TimerEvent::AttemptDeadline(key, number) => {
+                if self.requests.is_same(&key) && self.requests.has_attempt(&key.id, number) {
+                    self.cancel_attempt(&key.id, AttemptStatus::TimedOut);
+                }
+            }
+            TimerEvent::RequestDeadline(key) => {
+                if self.requests.is_same(&key) {
+                    self.fail_overdue_request(&key.id);
                 }
             }
-            TimerEvent::RequestDeadline(id) => self.fail_overdue_request(&id),
             TimerEvent::DialDeadline(token) => self.dial_timed_out(token),
             TimerEvent::ResponseStall(token) => self.response_stalled(token),
             TimerEvent::Sweep => self.sweep(),
--- a/src/proxy/requests.rs
+++ b/src/proxy/requests.rs
@@ -32,6 +32,8 @@
 /// A request that has not been answered, or whose last attempt has not ended.
 pub(super) struct ActiveRequest {
     pub(super) request: ClientRequest,
+    /// Number of the request in the order of admission.
+    number: u64,
     /// Token of the client's connection.
     pub(super) client: Token,
     pub(super) stream: u32,
@@ -74,6 +76,7 @@
     ) -> Self {
         ActiveRequest {
             request,
+            number: 0,
             client,
             stream,
             deadline,
@@ -84,7 +87,7 @@
             class: admission.class,
             metrics_class: admission.metrics_class,
             repeat_policy: admission.repeat_policy,
-            first_execution: None,
+            first_execution: admission.first_execution,
             used_connections: Vec::new(),
             _memory: memory,
         }
@@ -163,15 +166,39 @@
     }
 }
 
+/// Identifies one active request. Its id alone does not: a client may send the same id again after the first request has
+/// ended, for example on a new connection.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct RequestKey {
+    pub(super) id: Id,
+    /// Number of the request in the order of admission.
+    number: u64,
+}
+
 /// All active requests, by id.
 #[derive(Default)]
 pub(super) struct ActiveRequests {
     pub(super) by_id: FxHashMap<Id, ActiveRequest>,
+    admitted: u64,
 }
 
 impl ActiveRequests {
-    pub(super) fn insert(&mut self, id: Id, request: ActiveRequest) {
-        self.by_id.insert(id, request);
+    /// Adds a request that has just been admitted, and returns its key.
+    pub(super) fn insert(&mut self, id: Id, mut request: ActiveRequest) -> RequestKey {
+        self.admitted += 1;
+        request.number = self.admitted;
+        self.by_id.insert(id.clone(), request);
+        RequestKey { id, number: self.admitted }
+    }
+
+    /// Returns the key of the active request with this id.
+    pub(super) fn key(&self, id: &Id) -> Option<RequestKey> {
+        Some(RequestKey { id: id.clone(), number: self.by_id.get(id)?.number })
+    }
+
+    /// Returns whether the request with this key is active.
+    pub(super) fn is_same(&self, key: &RequestKey) -> bool {
+        self.by_id.get(&key.id).is_some_and(|active| active.number == key.number)
     }
 
     pub(super) fn remove(&mut self, id: &Id) -> Option<ActiveRequest> {
@@ -241,6 +268,13 @@
     metrics_class: usize,
     repeat_policy: RepeatPolicy,
     max_attempts: u32,
+    /// First execution of an earlier request with the same id.
+    first_execution: Option<FirstExecution>,
+}
+
+/// Returns the number that the id of a client's request stands for.
+fn id_number(id: &Id) -> Option<u64> {
+    u64::from_str_radix(id, 16).ok()
 }
 
 /// Returns the router's event for a request; `timeout` is the time that the router has for it.
@@ -287,7 +321,9 @@
         };
         let repeat_policy = self.classes.repeat_policy(begun_at, class, request.idempotency_key.is_some());
         let id: Id = request.request_id.as_str().into();
-        if self.requests.contains(&id) {
+        let earlier = id_number(&id).and_then(|number| self.recent_executions.find(number)).copied();
+        let allows_again = |first: &FirstExecution| repeat_policy.allows_client_retry(self.now, first);
+        if self.requests.contains(&id) || !earlier.as_ref().is_none_or(allows_again) {
             // Attempts and responses are matched by the request id, which belongs to the first request. This
             // may be the same request sent twice, so the response does not say whether it was executed.
             self.write_unadmitted(client, stream, &Response::Failed);
@@ -297,7 +333,8 @@
         debug!(self.log, "request"; "request" => %id, "class" => class, "timeout_ms" => request.timeout_ms,
                "size_kb" => request.size_kb, "object" => %request.object.0, "chunk" => request.chunk);
         let max_attempts = limits.max_attempts;
-        let admission = Admission { class, metrics_class, repeat_policy, max_attempts };
+        let admission =
+            Admission { class, metrics_class, repeat_policy, max_attempts, first_execution: earlier };
         self.begin_request(id, client, stream, request, admission);
     }
 
@@ -318,7 +355,7 @@
         let deadline = self.now + router_timeout;
         let memory = self.memory.reserve(ActiveRequest::memory_bytes(&request));
         let active = ActiveRequest::new(request, client, stream, admission, deadline, memory);
-        self.requests.insert(id.clone(), active);
+        let key = self.requests.insert(id.clone(), active);
         if let Some(client) = self.clients.get_mut(&client) {
             client.open_streams.insert(stream, id.clone());
         }
@@ -330,7 +367,7 @@
             return self.respond(&id, response);
         }
         let response_deadline = self.now + client_timeout - LAST_RESPONSE_MARGIN.min(client_timeout / 8);
-        self.timers.set(response_deadline, TimerEvent::RequestDeadline(id));
+        self.timers.set(response_deadline, TimerEvent::RequestDeadline(key));
         self.events.push_back(event);
     }
 
@@ -413,8 +450,11 @@
 
     /// Removes a request that is answered and has no attempt.
     pub(super) fn remove_request(&mut self, id: &Id) {
-        if let Some(removed) = self.requests.remove(id) {
-            self.classes.request_closed(removed.class);
+        let Some(removed) = self.requests.remove(id) else { return };
+        self.classes.request_closed(removed.class);
+        let is_restricted = !removed.repeat_policy.is_unrestricted();
+        if let (Some(first), Some(number), true) = (removed.first_execution, id_number(id), is_restricted) {
+            self.recent_executions.add(self.now, number, first);
         }
     }
 }
--- a/src/proxy/start.rs
+++ b/src/proxy/start.rs
@@ -10,10 +10,11 @@
 use super::metrics::Metrics;
 use super::predecessor;
 use super::purges::RecentPurges;
+use super::recent_executions::RecentExecutions;
 use super::requests::ActiveRequests;
 use super::takeover::{OpenedSocket, Takeover};
 use super::takeover_files::TakeoverFiles;
-use super::timers::TimerEvent;
+use super::timers::{TimerCompaction, TimerEvent};
 use super::unfinished_reads::UnfinishedReads;
 use super::Proxy;
 use crate::admin::Metrics as AdminMetrics;
@@ -168,8 +169,8 @@
         let multiplex = config.settings.limits.multiplex;
         Proxy {
             log,
-            timestamps: clock.timestamps(),
             log_limits: LogLimits::default(),
+            timestamps: clock.timestamps(),
             clock,
             now,
             polled_before: now,
@@ -183,6 +184,7 @@
             lifecycle: Lifecycle::default(),
             event_loop,
             timers: Timers::default(),
+            timer_compaction: TimerCompaction::default(),
             ready: Vec::new(),
             unfinished_reads: UnfinishedReads::default(),
             router,
@@ -192,6 +194,7 @@
             listener,
             clients: Clients::default(),
             requests: ActiveRequests::default(),
+            recent_executions: RecentExecutions::default(),
             paused_upstreams: Vec::new(),
             pool: Pool::new(multiplex, bounds.upstream, MAX_CONNECTIONS_PER_ENDPOINT, Micros::MAX),
             discovery: Discovery::new(config.channel, config.cursor),
--- a/src/proxy/tests.rs
+++ b/src/proxy/tests.rs
@@ -15,6 +15,7 @@
 mod processes;
 mod purge_log;
 mod races;
+mod recurring_ids;
 mod requests;
 mod system_calls;
 mod upstreams;
--- a/src/proxy/timers.rs
+++ b/src/proxy/timers.rs
@@ -3,7 +3,9 @@
 //! A timer is never cancelled: its handler checks whether it still applies. Some variants contain a time,
 //! which distinguishes the current timer from an older one that it has replaced.
 
-use crate::routing::events::{Id, Micros};
+use super::requests::RequestKey;
+use super::Proxy;
+use crate::routing::events::Micros;
 use mio::Token;
 
 /// One millisecond, in microseconds.
@@ -15,9 +17,9 @@
     /// A timer of the router, by its token.
     Router(u64),
     /// The deadline of an attempt, given by its request and number.
-    AttemptDeadline(Id, u32),
+    AttemptDeadline(RequestKey, u32),
     /// Nearly all of the client's timeout for a request has passed.
-    RequestDeadline(Id),
+    RequestDeadline(RequestKey),
     /// The timeout of a dial to an upstream.
     DialDeadline(Token),
     /// The timeout for more input of a partly received upstream response.
@@ -41,3 +43,50 @@
     /// The last time to answer or to close connections before the process ends.
     DrainDeadline,
 }
+
+/// Number of timers from which on those that are not needed any more are removed.
+const MIN_COMPACTED_TIMERS: usize = 4_096;
+
+/// Decides when timers of requests and attempts that have ended are removed. They can't be cancelled one by one, and a
+/// client may make requests with a long timeout that end at once.
+pub(super) struct TimerCompaction {
+    next_at: usize,
+}
+
+impl Default for TimerCompaction {
+    fn default() -> Self {
+        TimerCompaction { next_at: MIN_COMPACTED_TIMERS }
+    }
+}
+
+impl TimerCompaction {
+    /// Returns whether so many timers are to be compacted.
+    pub(super) fn is_due(&self, timers: usize) -> bool {
+        timers >= self.next_at
+    }
+
+    /// Records how many timers were left; the next compaction is due at twice as many, so that its cost stays small for
+    /// each timer that is set.
+    pub(super) fn record(&mut self, timers_left: usize) {
+        self.next_at = (2 * timers_left).max(MIN_COMPACTED_TIMERS);
+    }
+}
+
+impl Proxy {
+    /// Removes the timers of requests, attempts and connections that have ended, once many timers are set.
+    pub(super) fn compact_timers(&mut self) {
+        if !self.timer_compaction.is_due(self.timers.len()) {
+            return;
+        }
+        let (requests, pool) = (&self.requests, &self.pool);
+        self.timers.retain(|timer| match timer {
+            TimerEvent::RequestDeadline(key) => requests.is_same(key) && !requests.is_finished(&key.id),
+            TimerEvent::AttemptDeadline(key, number) => {
+                requests.is_same(key) && requests.has_attempt(&key.id, *number)
+            }
+            TimerEvent::DialDeadline(token) | TimerEvent::ResponseStall(token) => pool.get(*token).is_some(),
+            _ => true,
+        });
+        self.timer_compaction.record(self.timers.len());
+    }
+}
--- a/src/routing/deduplication.rs
+++ b/src/routing/deduplication.rs
@@ -93,7 +93,8 @@
         self.is_unrestricted() || self.scope == DeduplicationScope::All && self.is_in_window(at, first)
     }
 
-    fn is_unrestricted(&self) -> bool {
+    /// Returns whether a request may run any number of times.
+    pub fn is_unrestricted(&self) -> bool {
         self.idempotency == Idempotency::Idempotent
     }
 
