An id that has run at one process of a takeover is not run again by the other

Cause: what has run was known to the process that ran it.

Change: the takeover state names the requests that may have run and may not simply run again (1,024 at most); while both processes run, the predecessor tells the successor of each such request as it is written, in lines on their connection. A successor says in its first line that it reads them; versions before neither say so nor get any. Deferred messages wait for up to 128 turns in place of 16, since a turn may now read 16 KB.

The fixtures of the takeover's lines gain the new forms; the line of earlier versions is still tested.

--- a/src/proxy/attempts.rs
+++ b/src/proxy/attempts.rs
@@ -179,6 +179,11 @@
             attempt.execution = execution;
             self.admin_metrics.dispatches += u64::from(attempt.record_written(written));
         }
+        let is_restricted =
+            self.requests.get(id).is_some_and(|active| !active.repeat_policy.is_unrestricted());
+        if let (true, Some(execution)) = (is_restricted, execution) {
+            self.tell_execution(id, &execution);
+        }
         if !is_open {
             self.close_upstream(token);
         }
--- a/src/proxy/deferred_messages.rs
+++ b/src/proxy/deferred_messages.rs
@@ -8,10 +8,11 @@
 use crate::net::memory::{MemoryBudget, MemoryUse, Reservation};
 use crate::net::protocol::frames::ClientMessage;
 
-/// Maximum number of turns that a message waits for: they read more than all requests that a client may have open.
-const MAX_TURNS: u32 = 16;
+/// Maximum number of turns that a message waits for. Each reads 16 KB at least: together more than all requests that a
+/// client may have open.
+const MAX_TURNS: u32 = 128;
 /// Maximum number of messages that wait.
-const MAX_MESSAGES: usize = 4096;
+const MAX_MESSAGES: usize = 16_384;
 
 /// Deferred messages of one client.
 #[derive(Default)]
--- a/src/proxy/predecessor.rs
+++ b/src/proxy/predecessor.rs
@@ -21,6 +21,8 @@
 /// A running process of this instance that was found at the start.
 pub(super) struct Predecessor {
     pub stream: UnixStream,
+    /// Bytes received after the answer.
+    pub received: Vec<u8>,
     /// Listener that the predecessor handed over.
     pub listener: Option<TcpListener>,
 }
@@ -28,6 +30,8 @@
 /// Answer of the predecessor.
 struct Answer {
     line: FromPredecessor,
+    /// Bytes after the line.
+    rest: Vec<u8>,
     listener: Option<std::net::TcpListener>,
 }
 
@@ -38,9 +42,9 @@
 pub(super) fn find(files: &TakeoverFiles, log: &Logger) -> io::Result<Option<Predecessor>> {
     let Some(mut stream) = connect(files, log)? else { return Ok(None) };
     match greet(&mut stream, files) {
-        Ok(Answer { line: FromPredecessor::Offer, listener }) => {
+        Ok(Answer { line: FromPredecessor::Offer, rest, listener }) => {
             let (stream, listener) = (UnixStream::from_std(stream), listener.map(TcpListener::from_std));
-            Ok(Some(Predecessor { stream, listener }))
+            Ok(Some(Predecessor { stream, received: rest, listener }))
         }
         Ok(Answer { line: FromPredecessor::Busy, .. }) => {
             Err(io::Error::other("another process is taking over already; start one at a time"))
@@ -49,6 +53,10 @@
             warn!(log, "takeover refused by the predecessor"; "reason" => reason);
             Ok(None)
         }
+        Ok(Answer { line: FromPredecessor::Executed(_), .. }) => {
+            warn!(log, "no answer from the predecessor"; "error" => "it sent another line first");
+            Ok(None)
+        }
         Err(error) => {
             warn!(log, "no answer from the predecessor"; "error" => %error);
             Ok(None)
@@ -105,5 +113,7 @@
     if let Some(listener) = &listener {
         listener.set_nonblocking(true)?;
     }
-    Ok(Answer { line: serde_json::from_slice(&text[..length])?, listener })
+    let line_end = text[..length].iter().position(|&byte| byte == b'\n').map_or(length, |end| end + 1);
+    let (line, rest) = text[..length].split_at(line_end);
+    Ok(Answer { line: serde_json::from_slice(line)?, rest: rest.to_vec(), listener })
 }
--- a/src/proxy/recent_executions.rs
+++ b/src/proxy/recent_executions.rs
@@ -41,6 +41,11 @@
         self.by_id.get(&id)
     }
 
+    /// Iterates over the first executions, those of requests that ended last first.
+    pub(super) fn latest(&self) -> impl Iterator<Item = (u64, &FirstExecution)> {
+        self.ended.iter().rev().filter_map(|(_, id)| Some((*id, self.by_id.get(id)?)))
+    }
+
     fn expire(&mut self, now: Micros) {
         while self.ended.front().is_some_and(|(ended_at, _)| now.saturating_sub(*ended_at) >= RETENTION) {
             self.forget_oldest();
--- a/src/proxy/requests.rs
+++ b/src/proxy/requests.rs
@@ -213,6 +213,16 @@
         self.by_id.get_mut(id)
     }
 
+    /// Iterates over the first executions of the active requests that may have run, or whose attempt is written, and may not
+    /// simply run again.
+    pub(super) fn executions(&self) -> impl Iterator<Item = (u64, FirstExecution)> + '_ {
+        let restricted = self.by_id.iter().filter(|(_, active)| !active.repeat_policy.is_unrestricted());
+        restricted.filter_map(|(id, active)| {
+            let written = active.attempt.as_ref().and_then(|attempt| attempt.execution);
+            Some((id_number(id)?, active.first_execution.or(written)?))
+        })
+    }
+
     /// Returns the request if it still awaits its response.
     pub(super) fn unfinished_mut(&mut self, id: &Id) -> Option<&mut ActiveRequest> {
         self.by_id.get_mut(id).filter(|active| !active.is_finished)
@@ -273,7 +283,7 @@
 }
 
 /// Returns the number that the id of a client's request stands for.
-fn id_number(id: &Id) -> Option<u64> {
+pub(super) fn id_number(id: &Id) -> Option<u64> {
     u64::from_str_radix(id, 16).ok()
 }
 
--- a/src/proxy/takeover.rs
+++ b/src/proxy/takeover.rs
@@ -5,6 +5,7 @@
 use super::clients::Client;
 use super::predecessor::Predecessor;
 use super::purges::ReceivedPurge;
+use super::requests::id_number;
 use super::takeover_files::{temporary_path, TakeoverFiles};
 use super::Proxy;
 use crate::config::platform::Config;
@@ -12,9 +13,11 @@
 use crate::net::event_loop::{EventLoop, Ready};
 use crate::net::listener::listen;
 use crate::net::protocol::command_channel::{Command, Purge};
-use crate::routing::events::Micros;
+use crate::routing::deduplication::FirstExecution;
+use crate::routing::events::{Id, Micros};
 use crate::takeover::{
-    encode_line, Action, FromPredecessor, FromSuccessor, Offers, PurgeInForce, TakeoverState, MAX_LINE_BYTES,
+    encode_line, Action, ExecutedRequest, FromPredecessor, FromSuccessor, Lines, Offers, PurgeInForce,
+    TakeoverState, MAX_EXECUTED, MAX_LINE_BYTES,
 };
 use mio::net::{TcpListener, UnixListener, UnixStream};
 use mio::{Interest, Token};
@@ -27,6 +30,8 @@
 
 /// Time in which a connected process must send its first line, in microseconds; a successor sends it at once.
 const HELLO_TIMEOUT: Micros = 2_000_000;
+/// Maximum number of bytes that are kept for a successor which does not read them.
+const MAX_UNSENT_BYTES: usize = 64 * 1024;
 /// Maximum number of processes that are connected to the socket at a time.
 const MAX_CONNECTED_PROCESSES: usize = 2;
 
@@ -63,15 +68,60 @@
 struct PredecessorLink {
     token: Token,
     stream: UnixStream,
+    lines: Lines,
+    /// Requests that the predecessor may have run, as far as it has told.
+    executed: Vec<ExecutedRequest>,
+}
+
+impl PredecessorLink {
+    fn new(token: Token, stream: UnixStream, received: &[u8]) -> Self {
+        let mut link = PredecessorLink { token, stream, lines: Lines::default(), executed: Vec::new() };
+        link.handle_input(received);
+        link
+    }
+
+    fn handle_input(&mut self, bytes: &[u8]) {
+        for line in self.lines.add(bytes) {
+            if let Ok(FromPredecessor::Executed(request)) = serde_json::from_slice(&line) {
+                self.executed.push(request);
+            }
+        }
+    }
+
+    /// Reads what has arrived. Returns whether the connection has ended.
+    fn read(&mut self) -> bool {
+        let mut chunk = [0; MAX_LINE_BYTES];
+        loop {
+            match self.stream.read(&mut chunk) {
+                Ok(0) => return true,
+                Ok(length) => self.handle_input(&chunk[..length]),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return false,
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(_) => return true,
+            }
+        }
+    }
 }
 
 /// A process that has connected to the socket.
 struct ConnectedProcess {
     stream: UnixStream,
     received: Vec<u8>,
+    /// Lines that the process has not read yet.
+    unsent: Vec<u8>,
     connected_at: Micros,
 }
 
+impl ConnectedProcess {
+    /// Writes as much of the unsent lines as the connection accepts.
+    fn send(&mut self) {
+        if !self.unsent.is_empty() {
+            let written = self.stream.write(&self.unsent).unwrap_or(0);
+            self.unsent.drain(..written);
+        }
+    }
+}
+
 /// Result of reading from a connected process.
 enum Received {
     Line(Vec<u8>),
@@ -104,9 +154,9 @@
         shares_listener: bool,
         event_loop: &mut EventLoop,
     ) -> Self {
-        let predecessor = predecessor.and_then(|Predecessor { mut stream, .. }| {
+        let predecessor = predecessor.and_then(|Predecessor { mut stream, received, .. }| {
             let token = event_loop.add(&mut stream, Interest::READABLE).ok()?;
-            Some(PredecessorLink { token, stream })
+            Some(PredecessorLink::new(token, stream, &received))
         });
         Takeover {
             offers: Offers::new(files.identity.clone()),
@@ -177,12 +227,13 @@
     }
 
     /// Closes processes that have connected without sending a line, because the number of connections is
-    /// limited.
+    /// limited, and sends lines that the successor had no room for.
     pub fn sweep(&mut self, now: Micros) {
         let offers = &self.offers;
         self.connected.retain(|token, process| {
             offers.is_successor(*token) || now.saturating_sub(process.connected_at) < HELLO_TIMEOUT
         });
+        self.connected.values_mut().for_each(ConnectedProcess::send);
     }
 
     fn accept_processes(&mut self, now: Micros, event_loop: &mut EventLoop) {
@@ -191,18 +242,39 @@
             // A process beyond the maximum is disconnected, and starts without a predecessor.
             if self.connected.len() < MAX_CONNECTED_PROCESSES {
                 if let Ok(token) = event_loop.add(&mut stream, Interest::READABLE) {
-                    let process = ConnectedProcess { stream, received: Vec::new(), connected_at: now };
+                    let process = ConnectedProcess {
+                        stream,
+                        received: Vec::new(),
+                        unsent: Vec::new(),
+                        connected_at: now,
+                    };
                     self.connected.insert(token, process);
                 }
             }
         }
     }
 
-    /// Returns whether the predecessor has ended. It sends nothing more, so that any input is the end of the
-    /// connection.
-    fn predecessor_has_ended(&mut self) -> bool {
-        let Some(PredecessorLink { stream, .. }) = &mut self.predecessor else { return false };
-        !matches!(stream.read(&mut [0; 64]), Err(error) if error.kind() == ErrorKind::WouldBlock)
+    /// Reads what the predecessor has sent. Returns whether it has ended.
+    fn read_predecessor(&mut self) -> bool {
+        self.predecessor.as_mut().is_some_and(PredecessorLink::read)
+    }
+
+    /// Returns the requests that the predecessor may have run and that it has told of since the last call.
+    fn take_executed(&mut self) -> Vec<ExecutedRequest> {
+        self.predecessor.as_mut().map(|link| std::mem::take(&mut link.executed)).unwrap_or_default()
+    }
+
+    /// Tells the successor of a request that may have run. What it does not read is kept up to a limit.
+    fn tell_executed(&mut self, request: ExecutedRequest) {
+        let Some(process) = self.offers.execution_reader().and_then(|token| self.connected.get_mut(&token))
+        else {
+            return;
+        };
+        let line = encode_line(&FromPredecessor::Executed(request));
+        if process.unsent.len() + line.len() <= MAX_UNSENT_BYTES {
+            process.unsent.extend(line);
+        }
+        process.send();
     }
 
     /// Reads the next line of a connected process.
@@ -280,7 +352,9 @@
         if takeover.is_socket(event.token) {
             takeover.accept_processes(self.now, &mut self.event_loop);
         } else if takeover.is_predecessor(event.token) {
-            if takeover.predecessor_has_ended() {
+            let has_ended = takeover.read_predecessor();
+            self.add_executed(takeover.take_executed());
+            if has_ended {
                 info!(self.log, "the process before has ended");
                 takeover.predecessor = None;
             }
@@ -349,6 +423,7 @@
             written_ms: Some(self.timestamps.unix_ms(self.now)),
             classes: self.classes.known(self.now),
             limits: self.request_limits.known(self.now),
+            executed: self.executed_requests(),
         };
         if let Err(error) = takeover.files.write_state(&state) {
             warn!(self.log, "takeover state for the successor not written"; "error" => %error);
@@ -390,6 +465,32 @@
         self.request_limits.inherit(self.now, &state.limits);
         self.classes.inherit(self.now, state.classes);
         self.announce_settings();
+        self.add_executed(state.executed);
+        let told = self.takeover.as_mut().map(Takeover::take_executed).unwrap_or_default();
+        self.add_executed(told);
+    }
+
+    /// Records requests that the predecessor may have run.
+    fn add_executed(&mut self, executed: Vec<ExecutedRequest>) {
+        for request in executed {
+            self.recent_executions.add(self.now, request.id, request.first_execution(self.now));
+        }
+    }
+
+    /// Returns the requests that may have run and may not simply run again, the latest first as far as there is room.
+    fn executed_requests(&self) -> Vec<ExecutedRequest> {
+        let open = self.requests.executions().map(|(id, first)| ExecutedRequest::new(self.now, id, &first));
+        let ended = self.recent_executions.latest();
+        let ended = ended.map(|(id, first)| ExecutedRequest::new(self.now, id, first));
+        open.chain(ended).take(MAX_EXECUTED).collect()
+    }
+
+    /// Tells the successor, if there is one, that a request may run from now on.
+    pub(super) fn tell_execution(&mut self, id: &Id, first: &FirstExecution) {
+        let Some(takeover) = &mut self.takeover else { return };
+        if let Some(number) = id_number(id) {
+            takeover.tell_executed(ExecutedRequest::new(self.now, number, first));
+        }
     }
 
     /// Announces that this process serves clients, and resumes accepting.
--- a/src/proxy/tests/handover.rs
+++ b/src/proxy/tests/handover.rs
@@ -142,3 +142,56 @@
     new.wait_until("the protocol error", |proxy| (proxy.metrics.client_protocol_errors == 1).then_some(()));
     std::fs::remove_dir_all(folder).unwrap();
 }
+
+/// Guards against an id that runs at both processes of a takeover: before the handover, and while both run.
+#[test]
+fn an_id_that_has_run_at_the_predecessor_is_not_run_again_by_its_successor() {
+    let folder = std::env::temp_dir().join(format!("larchdale-{}-executed", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let once = |config: &mut serde_json::Value| {
+        config["settings"]["classes"][2]["semantics"] = "at_most_once".into();
+    };
+    let (mut old, mut new) = (Harness::with(once), Harness::with(once));
+    let identity = Identity { name: "t".into(), listen: old.proxy.configuration.listen };
+    let files = || TakeoverFiles::new(folder.clone(), identity.clone());
+    old.proxy.takeover = Some(Takeover::new(files(), None, false, &mut old.proxy.event_loop));
+    old.proxy.begin_serving();
+    let mut client = old.connect_client();
+    // The first is answered before the handover, the second open during it, the third begins after it.
+    client.write(&request(1, 1, "edit"));
+    let mut origin = old.accept(|harness| &harness.origin);
+    assert_eq!(old.read_command(&mut origin)[1], request_id(1));
+    origin.write(&response(&request_id(1), "ok", "-", "x"));
+    old.read_frame(&mut client);
+    client.write(&request(2, 2, "edit"));
+    assert_eq!(old.read_command(&mut origin)[1], request_id(2));
+    let (successor_files, log) = (files(), old.proxy.log.clone());
+    let search = std::thread::spawn(move || predecessor::find(&successor_files, &log).unwrap());
+    old.wait_until("the next process", |proxy| proxy.has_other_process().then_some(()));
+    let found = search.join().unwrap();
+    new.proxy.takeover = Some(Takeover::new(files(), found, false, &mut new.proxy.event_loop));
+    new.proxy.inherit_state();
+    client.write(&request(3, 3, "edit"));
+    let listener = old.origin.try_clone().unwrap();
+    let mut origins = vec![origin];
+    old.wait_until("the third attempt", |_| {
+        origins.extend(listener.accept().ok().map(|accepted| Peer::new(accepted.0)));
+        origins.iter_mut().find_map(|origin| {
+            origin.read_available();
+            decode_command(&mut origin.received).filter(|command| command[1] == request_id(3))
+        })
+    });
+    drop(client);
+    new.wait_until("the message of the predecessor", |proxy| proxy.recent_executions.find(3).map(|_| ()));
+    let mut again = new.connect_client();
+    for number in 1..=3 {
+        again.write(&request(number, number, "edit"));
+        assert_eq!(new.read_frame(&mut again), (8, number, vec![51, 0]));
+    }
+    again.write(&request(4, 4, "edit"));
+    let mut origin = new.accept(|harness| &harness.origin);
+    assert_eq!(new.read_command(&mut origin)[1], request_id(4), "another id runs");
+    drop(old);
+    new.wait_until("the end of the predecessor", |proxy| (!proxy.has_other_process()).then_some(()));
+    std::fs::remove_dir_all(folder).unwrap();
+}
--- a/src/proxy/tests/processes.rs
+++ b/src/proxy/tests/processes.rs
@@ -393,18 +393,24 @@
     harness.read_frame(&mut paused);
     harness.reload_settings("paused", |_| {});
     harness.reload_settings("paused", |s| s["classes"][0]["semantics"] = "deduplicated".into());
-    let tokens = harness.proxy.clients.tokens();
-    for token in &tokens {
-        harness.proxy.clients.get_mut(token).unwrap().conn.pause(true);
+    // Output that the client does not read stops the reading of its input.
+    for token in harness.proxy.clients.tokens() {
+        let client = harness.proxy.clients.get_mut(&token).unwrap();
+        client.conn.queue(vec![0; 8 * BACKLOG_HIGH_WATER]);
+        client.conn.flush(0);
+        harness.proxy.after_client_write(token);
     }
     paused.write(&request(1, 4, "clip"));
-    harness.skip(1_000 * MILLISECOND);
-    harness.skip(1_000 * MILLISECOND);
-    for token in &tokens {
-        harness.proxy.clients.get_mut(token).unwrap().conn.pause(false);
-        harness.proxy.unfinished_reads.push(*token);
+    for _ in 0..4 {
+        harness.proxy.clock.skip(500 * MILLISECOND);
+        harness.proxy.turn().unwrap();
     }
-    assert_eq!(harness.read_frame(&mut paused), (8, 1, vec![50, 0]));
+    let rejection = [0, 0, 0, 7, 8, 0, 0, 0, 1, 50, 0];
+    harness.wait_until("the rejection behind the output", |_| {
+        paused.read_available();
+        paused.received.ends_with(&rejection).then_some(())
+    });
+    assert_eq!(harness.proxy.metrics.client_protocol_errors, 0);
 }
 
 /// Guards against the same for a class that is dropped, and for a shorter deadline: such requests are served.
--- a/src/proxy/tests/recurring_ids.rs
+++ b/src/proxy/tests/recurring_ids.rs
@@ -77,7 +77,7 @@
 fn timers_of_ended_requests_are_removed_once_there_are_many() {
     let mut harness = Harness::with(|c| c["settings"]["limits"]["max-open"] = 100.into());
     harness.update_cache_entry(|entry| entry.state = EndpointState::Removed);
-    let removed = harness.proxy.discovery.endpoint_list.remove(harness.proxy.now, ORIGIN);
+    harness.proxy.discovery.endpoint_list.remove(harness.proxy.now, ORIGIN);
     harness.proxy.announce_endpoints(usize::MAX);
     harness.proxy.process_events();
     let mut client = harness.connect_client();
@@ -91,7 +91,6 @@
             answered += 1;
         }
     }
-    let _ = removed;
     assert!(
         harness.proxy.timers.len() < 8_192,
         "{} timers after 12,800 requests",
--- a/src/takeover/mod.rs
+++ b/src/takeover/mod.rs
@@ -6,18 +6,21 @@
 //! successor                          predecessor
 //!     -- hello (identity) ------------->        one successor at a time; a second one gets `busy`
 //!     <---- offer (the listener) ------
+//!     <---- executed (a request) ------        for each request that may not simply run again, while both run
 //!     -- serving --------------------->         stops accepting connections
 //!     <---- connection closed ---------         exits; the successor no longer shares the resource bounds
 //! ```
 #![cfg_attr(not(test), warn(clippy::min_ident_chars, clippy::missing_errors_doc))]
 
+mod executed;
 mod offers;
 mod state;
 #[cfg(test)]
 mod tests;
 
+pub use self::executed::{ExecutedRequest, Lines};
 pub use self::offers::{Action, Offers};
-pub use self::state::{PurgeInForce, StateError, TakeoverState, MAX_FILE_BYTES, MAX_PURGES};
+pub use self::state::{PurgeInForce, StateError, TakeoverState, MAX_EXECUTED, MAX_FILE_BYTES, MAX_PURGES};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -46,6 +49,10 @@
         /// Instance of the successor.
         #[serde(rename = "who")]
         identity: Identity,
+        /// Whether the successor reads [`FromPredecessor::Executed`]; versions before take any input for the
+        /// predecessor's end.
+        #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+        reads_executions: bool,
     },
     /// The successor serves clients.
     Serving {
@@ -65,6 +72,8 @@
     Busy,
     /// The successor may not take over, for this reason.
     Refused(String),
+    /// A request may have run.
+    Executed(ExecutedRequest),
 }
 
 /// Encodes a message as a line of JSON.
@@ -77,5 +86,5 @@
 
 /// Returns the first message of a successor.
 pub fn hello(identity: Identity) -> FromSuccessor {
-    FromSuccessor::Hello { version: VERSION, identity }
+    FromSuccessor::Hello { version: VERSION, identity, reads_executions: true }
 }
--- a/src/takeover/offers.rs
+++ b/src/takeover/offers.rs
@@ -23,6 +23,7 @@
 struct Successor<K> {
     connection: K,
     is_serving: bool,
+    reads_executions: bool,
 }
 
 /// Offers the listener to one successor at a time. `K` identifies a connection.
@@ -48,16 +49,23 @@
         self.successor.is_some_and(|successor| successor.connection == connection)
     }
 
+    /// Returns the connection of a successor that reads of executed requests.
+    pub fn execution_reader(&self) -> Option<K> {
+        self.successor.filter(|successor| successor.reads_executions).map(|successor| successor.connection)
+    }
+
     /// Handles a line that was received on a connection.
     pub fn handle_line(&mut self, connection: K, text: &[u8]) -> Action {
         match serde_json::from_slice(text) {
-            Ok(FromSuccessor::Hello { version, identity }) => self.hello(connection, version, &identity),
+            Ok(FromSuccessor::Hello { version, identity, reads_executions }) => {
+                self.hello(connection, version, &identity, reads_executions)
+            }
             Ok(FromSuccessor::Serving { shared_listener }) => self.serving(connection, shared_listener),
             Err(_) => refuse("not understood".to_owned()),
         }
     }
 
-    fn hello(&mut self, connection: K, version: u32, identity: &Identity) -> Action {
+    fn hello(&mut self, connection: K, version: u32, identity: &Identity, reads_executions: bool) -> Action {
         if version != VERSION {
             return refuse(format!("version {version} is not spoken, {VERSION} is"));
         }
@@ -67,7 +75,7 @@
         if self.has_successor() {
             return Action::Refuse(FromPredecessor::Busy);
         }
-        self.successor = Some(Successor { connection, is_serving: false });
+        self.successor = Some(Successor { connection, is_serving: false, reads_executions });
         Action::Offer
     }
 
--- a/src/takeover/state.rs
+++ b/src/takeover/state.rs
@@ -1,6 +1,6 @@
 //! The state that a process hands over to its successor in a file: a header line with version and checksum, then JSON.
 
-use super::{Identity, VERSION};
+use super::{ExecutedRequest, Identity, VERSION};
 use crate::config::settings::{KnownClass, KnownLimits};
 use serde::{Deserialize, Serialize};
 
@@ -8,6 +8,8 @@
 pub const MAX_FILE_BYTES: usize = 1 << 20;
 /// Maximum number of purges in a state file; each purge is in force for some seconds only.
 pub const MAX_PURGES: usize = 16_384;
+/// Maximum number of executed requests in a state file.
+pub const MAX_EXECUTED: usize = 1_024;
 
 /// A purge that is in force.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq, Serialize)]
@@ -56,6 +58,9 @@
     /// Limits of requests that clients may know; empty in files of versions without this field.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub limits: Vec<KnownLimits>,
+    /// Requests that may have run and may not simply run again; empty in files of versions without this field.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub executed: Vec<ExecutedRequest>,
 }
 
 /// Why a state file is rejected.
--- a/src/takeover/tests.rs
+++ b/src/takeover/tests.rs
@@ -14,7 +14,7 @@
     let mut offers = Offers::new(identity("n0"));
     for (message, reason) in [
         (hello(identity("n1")), "this is n0 at 127.0.0.1:9090"),
-        (FromSuccessor::Hello { version: 9, identity: identity("n0") }, "version 9"),
+        (FromSuccessor::Hello { version: 9, identity: identity("n0"), reads_executions: true }, "version 9"),
     ] {
         assert!(
             matches!(handle(&mut offers, 1, &message), Action::Refuse(FromPredecessor::Refused(text)) if text.contains(reason))
@@ -58,6 +58,7 @@
         written_ms: None,
         classes: Vec::new(),
         limits: Vec::new(),
+        executed: Vec::new(),
     };
     let file = state.encode();
     assert_eq!(TakeoverState::decode(&file, &identity("n0")), Ok(state));
@@ -108,3 +109,22 @@
         }
     }
 }
+
+/// Guards against a line of the predecessor that is lost because it arrives in pieces, and against one that never ends.
+#[test]
+fn lines_are_complete_however_they_arrive_and_an_endless_one_takes_no_memory() {
+    let text = b"first\nsecond\nthird";
+    for split in 0..text.len() {
+        let mut lines = Lines::default();
+        let mut complete = lines.add(&text[..split]);
+        complete.extend(lines.add(&text[split..]));
+        assert_eq!(complete, [b"first\n".to_vec(), b"second\n".to_vec()], "{split}");
+        assert_eq!(lines.add(b"\n"), [b"third\n".to_vec()], "{split}");
+    }
+    let mut lines = Lines::default();
+    for _ in 0..10 {
+        assert!(lines.add(&[b'x'; MAX_LINE_BYTES]).is_empty());
+    }
+    lines.add(b"\n");
+    assert_eq!(lines.add(b"next\n"), [b"next\n".to_vec()]);
+}
--- a/tests/stored_forms.rs
+++ b/tests/stored_forms.rs
@@ -16,8 +16,11 @@
 use larchdale::registry::record::{EndpointRecord, Names, State};
 use larchdale::registry::session::SavedList;
 use larchdale::registry::snapshot;
+use larchdale::routing::deduplication::{FirstExecution, Location};
 use larchdale::routing::events::{Class, DeduplicationScope, Endpoint, Id, Idempotency, Role};
-use larchdale::takeover::{self, FromPredecessor, FromSuccessor, Identity, Offers, PurgeInForce};
+use larchdale::takeover::{
+    self, ExecutedRequest, FromPredecessor, FromSuccessor, Identity, Offers, PurgeInForce,
+};
 use larchdale::{failover, growth, placement};
 use std::path::PathBuf;
 
@@ -300,11 +303,19 @@
         written_ms: Some(NOW_UNIX_MS + 2),
         classes: Vec::new(),
         limits: Vec::new(),
+        executed: Vec::new(),
     };
     let bytes = same_as_stored("stored/handover.state", &state.encode());
     assert_eq!(takeover::TakeoverState::decode(&bytes, &identity()).unwrap(), state);
 }
 
+/// A request that may have run 0.7 s ago.
+fn executed_request() -> ExecutedRequest {
+    let location = |cell| Location { zone: 1, cell };
+    let first = FirstExecution { sent_at: 300_000, target: location(3), source: Some(location(4)) };
+    ExecutedRequest::new(1_000_000, 0x9b1f_03aa_5c7e_2d41, &first)
+}
+
 #[test]
 fn the_classes_and_limits_of_a_takeover_state_keep_their_bytes_and_are_read_back() {
     let class = Class {
@@ -330,6 +341,7 @@
         written_ms: Some(NOW_UNIX_MS),
         classes: vec![known("images", None), known("edits", Some(700_000))],
         limits: vec![KnownLimits { limits, replaced_for: 700_000 }],
+        executed: vec![executed_request()],
     };
     let bytes = same_as_stored("stored/handover-classes.state", &state.encode());
     assert_eq!(takeover::TakeoverState::decode(&bytes, &identity()).unwrap(), state);
@@ -346,14 +358,20 @@
         FromPredecessor::Offer,
         FromPredecessor::Busy,
         FromPredecessor::Refused("not understood".to_owned()),
+        FromPredecessor::Executed(executed_request()),
     ];
     let written = from_successor.iter().map(takeover::encode_line).collect::<Vec<_>>().concat();
     let stored = same_as_stored("stored/handover-successor.jsonl", &written);
     let lines: Vec<&[u8]> = stored.split_inclusive(|&b| b == b'\n').collect();
     let read = |line: &&[u8]| serde_json::from_slice::<FromSuccessor>(line).unwrap();
     assert_eq!(lines.iter().map(read).collect::<Vec<_>>(), from_successor);
+    let earlier = br#"{"hello":{"version":1,"who":{"name":"door-1","listen":"127.0.0.1:9090"}}}"#;
+    let mut offers = Offers::new(identity());
+    assert_eq!(offers.handle_line(1, earlier), takeover::Action::Offer, "of a version without executions");
+    assert_eq!(offers.execution_reader(), None);
     let mut offers = Offers::new(identity());
     assert_eq!(offers.handle_line(1, lines[0]), takeover::Action::Offer);
+    assert_eq!(offers.execution_reader(), Some(1));
     assert_eq!(offers.handle_line(1, lines[1]), takeover::Action::Replaced { shared_listener: true });
 
     let written = from_predecessor.iter().map(takeover::encode_line).collect::<Vec<_>>().concat();
--- a/tools/hostile_clients.py
+++ b/tools/hostile_clients.py
@@ -352,4 +352,5 @@
         "unanswered": sum(len(client.sent) for client in usual), "ended": sum(client.ended for client in usual),
         "log_lines": log.count("\n"), "longest_turn_ms": max(turns, default=0) / 1000, "died": died}))
 
-asyncio.run(main())
+if __name__ == "__main__":
+    asyncio.run(main())
