Outcomes of an endpoint's earlier process do not count against the one that has come up since

What callers saw: an endpoint that had restarted was ejected for attempts that its earlier process never answered; work went elsewhere while the new process was ready.

Cause: the router kept attempts in flight over a restart, rightly, but recorded their outcomes, and overdue responses, in the reset record of the endpoint.

Change: the record knows when the endpoint was last known to have restarted. Outcomes, load reports, overdue responses and trials of attempts sent before are not recorded; the attempts still end and release what they hold.

Measured: routing::tests::late_outcomes_of_an_earlier_process_do_not_count_against_the_present_one.

--- a/src/routing/outcomes.rs
+++ b/src/routing/outcomes.rs
@@ -16,9 +16,11 @@
     pub(super) fn handle_outcome(&mut self, outcome: Outcome, actions: &mut Vec<Action>) {
         let Some((mut pending, attempt)) = self.take_attempt(&outcome) else { return };
         self.release_attempt(&attempt);
-        self.record_hit_ratio(&attempt, &outcome);
         self.release_unused_fill(&pending, &attempt, &outcome);
-        self.record_outcome(&attempt, &outcome);
+        if !self.has_restarted_since(&attempt) {
+            self.record_hit_ratio(&attempt, &outcome);
+            self.record_outcome(&attempt, &outcome);
+        }
         pending.consecutive_errors = match outcome.status {
             AttemptStatus::Error => pending.consecutive_errors + 1,
             _ => 0,
@@ -41,7 +43,9 @@
         // A failure is recorded only for an endpoint that has sent no response since. Ejecting caches for
         // slow fills would leave the other caches with more misses and even slower fills.
         for index in [Some(attempt.target), attempt.source].into_iter().flatten() {
-            if self.endpoints[index].latency.last_response_at < attempt.sent_at {
+            let upstream = &self.endpoints[index];
+            let is_silent = upstream.latency.last_response_at < attempt.sent_at;
+            if is_silent && upstream.restarted_at <= attempt.sent_at {
                 self.record_failure(index, FAILURE_RATE_STEP);
             }
         }
@@ -64,13 +68,20 @@
             if !attempt.capacity_released {
                 upstream.concurrency.in_flight.decrement(self.now);
             }
-            upstream.outliers.attempt_ended();
+            if attempt.sent_at >= upstream.restarted_at {
+                upstream.outliers.attempt_ended();
+            }
         }
         if self.is_cache(attempt.target) {
             self.load.attempt_ended();
         }
     }
 
+    /// Returns whether an endpoint of the attempt has restarted since the attempt was sent.
+    fn has_restarted_since(&self, attempt: &Attempt) -> bool {
+        attempt.participants().into_iter().any(|index| attempt.sent_at < self.endpoints[index].restarted_at)
+    }
+
     fn is_cache(&self, index: EndpointIndex) -> bool {
         self.endpoints[index].endpoint.role == Role::Cache
     }
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -183,3 +183,44 @@
         load_report: None,
     }
 }
+
+/// Guards against failures of an endpoint's earlier process that eject the one which has come up at its address.
+#[test]
+fn late_outcomes_of_an_earlier_process_do_not_count_against_the_present_one() {
+    for is_restarted in [false, true] {
+        let mut router = Router::new(settings(false), 7);
+        let mut actions = Vec::new();
+        let mut now = 100 * S;
+        let endpoints = vec![endpoint_at(0, 2), endpoint_at(1, 2)];
+        router.handle(now, Event::Endpoints { complete: true, endpoints: endpoints.clone() }, &mut actions);
+        for number in 0..8 {
+            router.handle(now, Event::Request(request(number)), &mut actions);
+        }
+        let cache = router.endpoints.find(&endpoints[0].id).unwrap();
+        let to_cache = |action: &Action| match action {
+            Action::Send { request, server, .. } => (*server == endpoints[0].id).then(|| request.clone()),
+            _ => None,
+        };
+        let sent: Vec<_> = actions.drain(..).filter_map(|action| to_cache(&action)).collect();
+        assert!(sent.len() > 2, "{}", sent.len());
+        now += S;
+        if is_restarted {
+            let restarted = Endpoint { started_at: now - 100 * MS, ..endpoints[0].clone() };
+            router.handle(
+                now,
+                Event::Endpoints { complete: false, endpoints: vec![restarted] },
+                &mut actions,
+            );
+        }
+        now += S;
+        for request in sent {
+            let outcome = Outcome { request, ..final_outcome(0, AttemptStatus::ConnectFailed) };
+            router.handle(now, Event::Outcome(outcome), &mut actions);
+        }
+        assert_eq!(router.endpoints[cache].outliers.is_available(now), is_restarted);
+        assert!(
+            router.endpoints[cache].concurrency.in_flight.is_empty(),
+            "the attempts have ended all the same"
+        );
+    }
+}
