The state of one client connection and the checks of a request are modules of their own

proxy/clients.rs held the connection, the checks of a request's values and the handling of messages in 577 lines.

--- /dev/null
+++ b/src/proxy/client.rs
@@ -0,0 +1,286 @@
+//! One client connection: its streams and timeouts, and the validation of the messages that it sends.
+
+use super::arrival_times::{ArrivalTimes, ReadState, ReceivedMessage};
+use super::deferred_messages::DeferredMessages;
+use super::message_buffer::MessageBuffer;
+use super::timers::MILLISECOND;
+use crate::net::connection::{Connection, State};
+use crate::net::event_loop::Ready;
+use crate::net::memory::MemoryBudget;
+use crate::net::protocol::frames::{ClientMessage, Decoder};
+use crate::net::protocol::{ClientRequest, Malformed};
+use crate::routing::events::{Id, Micros};
+use bytes::BytesMut;
+use mio::net::TcpStream;
+use rustc_hash::{FxHashMap, FxHashSet};
+
+/// Maximum number of open requests on one connection.
+const MAX_OPEN_STREAMS: usize = 32;
+/// Number of messages after which no more is read from a connection in one turn.
+const MAX_MESSAGES_PER_TURN: usize = 256;
+/// Maximum number of requests of one connection that may be cancelled in excess of those answered.
+pub(super) const MAX_UNANSWERED_CANCELS: u32 = 64;
+/// Size of the write backlog, in bytes, above which reading from the client is paused.
+pub(super) const BACKLOG_HIGH_WATER: usize = 1 << 20;
+/// Size of the write backlog, in bytes, below which reading resumes.
+const BACKLOG_LOW_WATER: usize = 1 << 18;
+/// Time after which a client whose machine acknowledges none of its undelivered output is dropped, in microseconds.
+pub(super) const DELIVERY_STALL_TIMEOUT: Micros = 8_000 * MILLISECOND;
+/// Time after which a connection without open requests is closed, in microseconds. Clients that reuse their
+/// connections close them after 4 s.
+pub(super) const IDLE_TIMEOUT: Micros = 5_000 * MILLISECOND;
+/// Time in which a message must be complete, in microseconds: counted from the accept for the first message,
+/// from its first byte for any other.
+pub(super) const MESSAGE_TIMEOUT: Micros = 2_000 * MILLISECOND;
+/// Extension of [`MESSAGE_TIMEOUT`] while bytes keep arriving, in microseconds. Some clients take 2 s to
+/// write a message, and a client that violates the protocol must get its error within 3 s of connecting.
+pub(super) const MESSAGE_TIMEOUT_EXTENSION: Micros = 600 * MILLISECOND;
+/// Gap between received bytes from which a partial message no longer counts as arriving, in microseconds.
+pub(super) const MESSAGE_STALL_TIMEOUT: Micros = 1_000 * MILLISECOND;
+/// Time that a client has to close its side after it got everything and the proxy has closed its own, in
+/// microseconds.
+pub(super) const CLOSE_TIMEOUT: Micros = 500 * MILLISECOND;
+
+/// A client connection.
+pub(super) struct Client {
+    pub(super) conn: Connection<TcpStream>,
+    last_stream: u32,
+    /// Requests that await their response, by stream.
+    pub(super) open_streams: FxHashMap<u32, Id>,
+    /// Whether the client has been told to send no new request on this connection.
+    pub(super) has_sent_going_away: bool,
+    /// Number of requests cancelled, less those answered since.
+    unanswered_cancels: u32,
+    /// Number of complete messages received.
+    pub(super) message_count: u64,
+    /// Start time of the message that is currently awaited: its first byte, or the accept for the first
+    /// message.
+    pub(super) message_awaited_since: Option<Micros>,
+    pub(super) last_used: Micros,
+    /// Whether output was undelivered when that was last looked at.
+    was_undelivered: bool,
+    /// Protocol violation after which nothing more is read. The error is sent as the last message, once all
+    /// open requests are answered.
+    pub(super) protocol_error: Option<Malformed>,
+    /// Messages that wait until what the client has sent is read further.
+    pub(super) deferred: DeferredMessages,
+    decoder: Decoder,
+    arrivals: ArrivalTimes,
+}
+
+/// Messages of one turn, up to the first that violates the protocol.
+#[derive(Default)]
+pub(super) struct ReceivedMessages {
+    pub(super) messages: Vec<ReceivedMessage>,
+    pub(super) error: Option<Malformed>,
+}
+
+/// Streams that the messages of one turn begin and cancel.
+struct TurnStreams {
+    /// Index of each new request in the list of messages, by stream.
+    begun: FxHashMap<u32, usize>,
+    cancelled: FxHashSet<u32>,
+    open: usize,
+    /// Whether a cancellation of a request that began in the same turn has been counted.
+    has_counted_begun: bool,
+}
+
+impl Client {
+    pub(super) fn new(stream: TcpStream, now: Micros, memory: &MemoryBudget) -> Self {
+        let mut conn = Connection::accepted(stream, now);
+        conn.count_memory_in(memory);
+        Client {
+            conn,
+            last_stream: 0,
+            open_streams: FxHashMap::default(),
+            has_sent_going_away: false,
+            unanswered_cancels: 0,
+            message_count: 0,
+            message_awaited_since: Some(now),
+            last_used: now,
+            was_undelivered: false,
+            protocol_error: None,
+            deferred: DeferredMessages::default(),
+            decoder: Decoder::default(),
+            arrivals: ArrivalTimes::default(),
+        }
+    }
+
+    /// Returns whether the client has no request and its machine has acknowledged all output. To its
+    /// client, a request is open until its response was read, and a close could discard what this system has
+    /// not delivered.
+    pub(super) fn is_idle(&self) -> bool {
+        self.open_streams.is_empty() && self.deferred.is_empty() && self.conn.undelivered() == 0
+    }
+
+    /// Looks at what the client's machine has acknowledged. The connection counts as used until all output was
+    /// seen delivered.
+    pub(super) fn update_delivery(&mut self, now: Micros) {
+        self.conn.update_delivery(now);
+        let is_undelivered = self.conn.undelivered() > 0;
+        if self.was_undelivered && !is_undelivered {
+            self.last_used = now;
+        }
+        self.was_undelivered = is_undelivered;
+    }
+
+    /// Returns whether the client's machine has acknowledged none of the undelivered output for `limit`.
+    pub(super) fn is_delivery_stalled(&self, now: Micros, limit: Micros) -> bool {
+        let since_progress = now.saturating_sub(self.conn.last_delivery_progress());
+        self.conn.undelivered() > 0 && since_progress >= limit
+    }
+
+    /// Returns whether the proxy has closed its side and the client, which got everything, has not closed its
+    /// own in time.
+    pub(super) fn is_close_overdue(&self, now: Micros) -> bool {
+        let since_delivery = now.saturating_sub(self.conn.last_delivery_progress());
+        let has_finished = self.conn.state() == State::Lingering && self.conn.undelivered() == 0;
+        has_finished && since_delivery >= CLOSE_TIMEOUT
+    }
+
+    /// Returns whether the client has sent at least one complete message.
+    pub(super) fn has_sent_message(&self) -> bool {
+        self.message_count > 0
+    }
+
+    /// Returns whether the connection is open and the client has never sent a complete message.
+    pub(super) fn is_silent(&self) -> bool {
+        !self.has_sent_message() && self.conn.is_open()
+    }
+
+    /// Reads what the poll has reported. All earlier input was read at `read_through_at`, unless some was left unread.
+    pub(super) fn read(&mut self, now: Micros, read_through_at: Micros, event: &Ready) -> ReceivedMessages {
+        let decoder = &mut self.decoder;
+        let mut buffer = MessageBuffer::new(|bytes: &mut BytesMut| decoder.decode(bytes))
+            .limited_to(MAX_MESSAGES_PER_TURN);
+        self.conn.ready(now, event.readable, event.writable, &mut buffer);
+        let received = buffer.into_received();
+        if received.has_received {
+            self.record_received(now, received.messages.len());
+        }
+        let state = ReadState {
+            has_partial_message: self.has_partial_message(),
+            has_unread_input: self.conn.may_have_unread_input(),
+        };
+        let messages = self.arrivals.date(read_through_at, received.messages, &state);
+        ReceivedMessages { messages, error: received.error }
+    }
+
+    /// Updates the times on which the timeouts depend, after a read that brought `messages` complete
+    /// messages.
+    fn record_received(&mut self, now: Micros, messages: usize) {
+        self.last_used = now;
+        self.message_count += messages as u64;
+        let awaits_more = !self.has_sent_message() || self.has_partial_message();
+        let since = self.message_awaited_since.filter(|_| messages == 0).unwrap_or(now);
+        self.message_awaited_since = awaits_more.then_some(since);
+    }
+
+    /// Pauses reading while much output is unread, or any while memory is short, and resumes it afterwards: a client that
+    /// sends without reading must not make this process hold responses for it.
+    pub(super) fn pause_or_resume(&mut self, has_memory: bool) {
+        let backlog = self.conn.backlog();
+        if backlog > BACKLOG_HIGH_WATER || backlog > 0 && !has_memory {
+            self.conn.pause(true);
+        } else if backlog < BACKLOG_LOW_WATER {
+            self.conn.pause(false);
+        }
+    }
+
+    /// Returns whether a message is partially received, even if its content is discarded.
+    pub(super) fn has_partial_message(&self) -> bool {
+        self.conn.has_partial_message() || self.decoder.is_discarding()
+    }
+
+    /// Releases the memory of a partially received message; its rest is discarded as it arrives.
+    pub(super) fn discard_partial_message(&mut self) {
+        if self.decoder.discard_message(self.conn.partial_message()) {
+            self.conn.release_partial_message();
+        }
+    }
+
+    /// Records that a response was sent, and returns the request that awaited it.
+    pub(super) fn record_response(&mut self, stream: u32) -> Option<Id> {
+        self.unanswered_cancels = self.unanswered_cancels.saturating_sub(1);
+        self.open_streams.remove(&stream)
+    }
+
+    /// Validates messages that were read together before any of them is handled, and drops requests that are
+    /// cancelled among them. Requests that no client waits for, or that are invalid, must not reach the
+    /// endpoints.
+    pub(super) fn validate(
+        &mut self,
+        messages: Vec<ReceivedMessage>,
+        check_request: impl Fn(&ClientRequest, Micros) -> Result<(), Malformed>,
+    ) -> ReceivedMessages {
+        let mut valid = ReceivedMessages::default();
+        let mut streams = TurnStreams {
+            begun: FxHashMap::default(),
+            cancelled: FxHashSet::default(),
+            open: self.open_streams.len(),
+            has_counted_begun: false,
+        };
+        for received in messages {
+            match &received.message {
+                ClientMessage::Ready { .. } => {}
+                ClientMessage::Cancel { stream } => {
+                    self.record_cancel(*stream, &mut streams, &mut valid.messages);
+                    if self.unanswered_cancels > MAX_UNANSWERED_CANCELS {
+                        valid.error = Some(Malformed::TooManyCancels);
+                    }
+                }
+                ClientMessage::DiscardedRequest { stream, .. } => {
+                    if let Err(error) = self.begin_stream(*stream, streams.open) {
+                        valid.error = Some(error);
+                        return valid;
+                    }
+                }
+                ClientMessage::Request { stream, request } => {
+                    let checked = self.begin_stream(*stream, streams.open);
+                    if let Err(error) = checked.and_then(|()| check_request(request, received.begun_at)) {
+                        valid.error = Some(error);
+                        return valid;
+                    }
+                    streams.open += 1;
+                    streams.begun.insert(*stream, valid.messages.len());
+                }
+            }
+            valid.messages.push(received);
+            if valid.error.is_some() {
+                break;
+            }
+        }
+        valid
+    }
+
+    /// Counts a cancellation, and drops its request if that came in the same turn. All such requests of one
+    /// turn count as one, because they cost nothing but reading, and many arrive at once after the process
+    /// was stopped for a while.
+    fn record_cancel(&mut self, stream: u32, streams: &mut TurnStreams, messages: &mut [ReceivedMessage]) {
+        let is_known = streams.begun.contains_key(&stream) || self.open_streams.contains_key(&stream);
+        let is_first = is_known && streams.cancelled.insert(stream);
+        if is_first {
+            streams.open -= 1;
+        }
+        if let Some(index) = streams.begun.remove(&stream) {
+            // A cancellation of stream 0, which does not exist, replaces the request, so that the indices of
+            // the other messages stay valid.
+            messages[index].message = ClientMessage::Cancel { stream: 0 };
+            self.unanswered_cancels += u32::from(!std::mem::replace(&mut streams.has_counted_begun, true));
+        } else if is_first {
+            self.unanswered_cancels += 1;
+        }
+    }
+
+    /// Begins the stream of a new request on a connection with `open` open requests.
+    fn begin_stream(&mut self, stream: u32, open: usize) -> Result<(), Malformed> {
+        if stream <= self.last_stream {
+            return Err(Malformed::StreamReused);
+        }
+        self.last_stream = stream;
+        if open >= MAX_OPEN_STREAMS {
+            return Err(Malformed::TooManyRequests);
+        }
+        Ok(())
+    }
+}
--- a/src/proxy/client_admission.rs
+++ b/src/proxy/client_admission.rs
@@ -1,7 +1,7 @@
 //! Admission of client connections: accepting them from the listener, and evicting connections when the
 //! connection limit or the descriptors are used up.
 
-use super::clients::Client;
+use super::client::Client;
 use super::timers::{TimerEvent, MILLISECOND};
 use super::Proxy;
 use crate::net::accept::{self, Failure};
--- a/src/proxy/client_table.rs
+++ b/src/proxy/client_table.rs
@@ -1,6 +1,6 @@
 //! The connections of all clients, and the selection of those to close: by timeout, or to make room.
 
-use super::clients::{
+use super::client::{
     Client, DELIVERY_STALL_TIMEOUT, IDLE_TIMEOUT, MESSAGE_STALL_TIMEOUT, MESSAGE_TIMEOUT,
     MESSAGE_TIMEOUT_EXTENSION,
 };
--- a/src/proxy/deferred_messages.rs
+++ b/src/proxy/deferred_messages.rs
@@ -2,7 +2,7 @@
 //!
 //! One turn of the event loop reads a limited amount from a connection. A client that has sent more may have cancelled
 //! requests at the front of it, so requests wait for the turns that read the rest; the number of turns and of messages is
-//! limited, and their memory is counted in the budget. The owner is [`super::clients::Client`].
+//! limited, and their memory is counted in the budget. The owner is [`super::client::Client`].
 
 use super::arrival_times::ReceivedMessage;
 use crate::net::memory::{MemoryBudget, MemoryUse, Reservation};
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -8,6 +8,7 @@
 mod admin;
 mod arrival_times;
 mod attempts;
+mod client;
 mod client_admission;
 mod client_table;
 mod clients;
@@ -31,6 +32,7 @@
 mod purges;
 mod rebalancing;
 mod recent_executions;
+mod request_checks;
 mod requests;
 mod shard_capacity;
 mod start;
--- a/src/proxy/requests.rs
+++ b/src/proxy/requests.rs
@@ -5,7 +5,7 @@
 //! attempts. A request has at most one attempt at a time. It stays active after its response while an attempt
 //! is still running, so that the router is told the result of that attempt.
 
-use super::clients::can_transfer_in_time;
+use super::request_checks::can_transfer_in_time;
 use super::timers::{TimerEvent, MILLISECOND};
 use super::Proxy;
 use crate::admin::EndStatus;
--- a/src/proxy/takeover.rs
+++ b/src/proxy/takeover.rs
@@ -2,7 +2,7 @@
 //! successor, the handover of the listener, and the limits that both processes share meanwhile.
 //! `crate::takeover` decides which process may take over. If a step fails, the process continues without it.
 
-use super::clients::Client;
+use super::client::Client;
 use super::predecessor::Predecessor;
 use super::purges::ReceivedPurge;
 use super::requests::id_number;
--- a/src/proxy/tests.rs
+++ b/src/proxy/tests.rs
@@ -21,11 +21,11 @@
 mod upstreams;
 mod wall_clock;
 
-use super::client_admission::EVICTION_STALL_TIMEOUT;
-use super::clients::{
+use super::client::{
     BACKLOG_HIGH_WATER, CLOSE_TIMEOUT, DELIVERY_STALL_TIMEOUT, IDLE_TIMEOUT, MAX_UNANSWERED_CANCELS,
     MESSAGE_TIMEOUT, MESSAGE_TIMEOUT_EXTENSION,
 };
+use super::client_admission::EVICTION_STALL_TIMEOUT;
 use super::draining::SHUTDOWN_STALL_TIMEOUT;
 use super::housekeeping::SWEEP_INTERVAL;
 use super::predecessor;
--- a/tools/hostile_clients.py
+++ b/tools/hostile_clients.py
@@ -209,19 +209,29 @@
         flood(address, 1, True, makers[picture], until)
 
 
+async def read_command(reader):
+    """Reads an array of bulk strings."""
+    count = int((await reader.readline())[1:] or b"x")
+    words = []
+    for _ in range(count):
+        size = int((await reader.readline())[1:])
+        words.append((await reader.readexactly(size + 2))[:-2])
+    return words
+
+
+def encode_response(*words):
+    """Encodes an endpoint's response."""
+    return b"*4\r\n" + b"".join(b"$%d\r\n%s\r\n" % (len(word), word) for word in words)
+
+
 async def endpoint(reader, writer):
     async def answer(name, body_wanted):
         await asyncio.sleep(ENDPOINT_DELAY_S)
         note = f"tag=4be0c1927d55a6f3,minted={int(time.time() * 1000)},note=hit".encode()
-        words = (name, b"ok", note, b"x" * body_wanted)
-        writer.write(b"*4\r\n" + b"".join(b"$%d\r\n%s\r\n" % (len(word), word) for word in words))
+        writer.write(encode_response(name, b"ok", note, b"x" * body_wanted))
     try:
         while True:
-            count = int((await reader.readline())[1:] or b"x")
-            words = []
-            for _ in range(count):
-                size = int((await reader.readline())[1:])
-                words.append((await reader.readexactly(size + 2))[:-2])
+            words = await read_command(reader)
             if words[0] == b"want":
                 asyncio.ensure_future(answer(words[1], BODY_BYTES))
     except (ValueError, asyncio.IncompleteReadError, ConnectionError):
--- a/tools/leaving_clients.py
+++ b/tools/leaving_clients.py
@@ -18,7 +18,7 @@
 import threading
 import time
 
-from hostile_clients import command_channel, frame, fields
+from hostile_clients import command_channel, encode_response, fields, frame, read_command
 
 CLIENTS = 30
 EDITS = 32
@@ -30,15 +30,10 @@
 async def endpoint(reader, writer):
     async def answer(name):
         await asyncio.sleep(ENDPOINT_DELAY_S)
-        words = (name, b"ok", b"-", b"x" * 100)
-        writer.write(b"*4\r\n" + b"".join(b"$%d\r\n%s\r\n" % (len(word), word) for word in words))
+        writer.write(encode_response(name, b"ok", b"-", b"x" * 100))
     try:
         while True:
-            count = int((await reader.readline())[1:] or b"x")
-            words = []
-            for _ in range(count):
-                size = int((await reader.readline())[1:])
-                words.append((await reader.readexactly(size + 2))[:-2])
+            words = await read_command(reader)
             if words[0] == b"want":
                 ARRIVED.setdefault(words[1].decode(), []).append(time.time())
                 asyncio.ensure_future(answer(words[1]))
--- a/tools/replaced_endpoint.py
+++ b/tools/replaced_endpoint.py
@@ -15,7 +15,7 @@
 import tempfile
 import time
 
-from hostile_clients import fields, frame
+from hostile_clients import encode_response, fields, frame, read_command
 
 EDITS_PER_S, REPLACED_AT_S, RUN_S = 50, 2.0, 7.0
 ARRIVED = {"old": {}, "new": {}, "cache": {}}
@@ -28,15 +28,10 @@
 
         async def answer(request):
             await asyncio.sleep(ANSWER_AFTER_S[name])
-            words = (request, b"ok", b"-", b"x" * 100)
-            writer.write(b"*4\r\n" + b"".join(b"$%d\r\n%s\r\n" % (len(word), word) for word in words))
+            writer.write(encode_response(request, b"ok", b"-", b"x" * 100))
         try:
             while True:
-                count = int((await reader.readline())[1:] or b"x")
-                words = []
-                for _ in range(count):
-                    size = int((await reader.readline())[1:])
-                    words.append((await reader.readexactly(size + 2))[:-2])
+                words = await read_command(reader)
                 if words[0] == b"want":
                     ARRIVED[name].setdefault(words[1].decode(), []).append(time.time())
                     asyncio.ensure_future(answer(words[1]))
