The test of a log that nobody reads fills it with debug lines of requests

It made its lines by 4,000 protocol errors, which are limited to ten a second since; it then waited without end for the line that tells of dropped ones. It now makes 4,000 requests at the debug level, each with several lines, and demands the same: the process answers, and the log tells once it is read that lines were dropped. Two comments of the routing core keep to its width (tests/module_size.rs failed on them).

--- a/src/routing/endpoint.rs
+++ b/src/routing/endpoint.rs
@@ -25,8 +25,8 @@
     pub(super) objects: ObjectShare,
     /// Fraction of requests that the endpoint answers from its own copies.
     pub(super) hit_ratio: f64,
-    /// Time at which the endpoint was last known to have restarted, or 0. What its earlier process did says nothing about
-    /// the present one.
+    /// Time at which the endpoint was last known to have restarted, or 0. What its earlier process did says
+    /// nothing about the present one.
     pub(super) restarted_at: Micros,
 }
 
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -184,7 +184,8 @@
     }
 }
 
-/// Guards against failures of an endpoint's earlier process that eject the one which has come up at its address.
+/// Guards against failures of an endpoint's earlier process that eject the one which has come up at its
+/// address.
 #[test]
 fn late_outcomes_of_an_earlier_process_do_not_count_against_the_present_one() {
     for is_restarted in [false, true] {
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -60,10 +60,14 @@
 
 fn start_with(name: &str, shell_prefix: &str, config: &str) -> Program {
     let mut program = spawn(name, shell_prefix, config, String::new());
-    // The first line has the listen address; the rest of the log stays unread.
-    let mut first = String::new();
-    program.log.read_line(&mut first).unwrap();
-    program.listen = first.split_once("address: ").and_then(|p| p.1.split_once(',')).unwrap().0.to_owned();
+    // The first line, or the first after those of the debug level, has the listen address; the rest of the log stays
+    // unread.
+    let mut listening = String::new();
+    while !listening.contains("listening") {
+        listening.clear();
+        assert_ne!(program.log.read_line(&mut listening).unwrap(), 0, "the process ended");
+    }
+    program.listen = listening.split_once("address: ").and_then(|p| p.1.split_once(',')).unwrap().0.to_owned();
     program
 }
 
@@ -341,16 +345,30 @@
     TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string()
 }
 
+/// Encodes a request on stream 1 that no endpoint can serve in time.
+fn request(number: u64) -> Vec<u8> {
+    let id = format!("{number:016x}");
+    let fields = [("route", "images"), ("trace", &id), ("patience", "200"), ("entity", &id), ("size", "1.0")];
+    let mut payload = vec![7, 0, 0, 0, 1, fields.len() as u8];
+    for (name, value) in fields {
+        payload.push(name.len() as u8);
+        payload.extend(name.as_bytes());
+        payload.extend((value.len() as u16).to_be_bytes());
+        payload.extend(value.as_bytes());
+    }
+    [(payload.len() as u32).to_be_bytes().to_vec(), payload].concat()
+}
+
 #[test]
 fn a_log_that_is_not_read_does_not_block_the_process() {
-    // Each connection causes a log line; together these are far more than the pipe and the log queue can hold.
-    let mut program = start("log", "");
-    for _ in 0..4_000 {
+    // Each request causes a log line; together these are far more than the pipe and the log queue can hold.
+    let mut program = start("log", "export LARCHDALE_LOG=debug;");
+    for number in 0..4_000 {
         let mut client = program.connect();
-        client.write_all(&[255; 8]).unwrap();
+        client.write_all(&request(number)).unwrap();
         let mut reply = [0; 9];
         client.read_exact(&mut reply).unwrap();
-        assert_eq!(reply[4..], [8, 0, 0, 0, 0]);
+        assert_eq!(reply[4..], [8, 0, 0, 0, 1]);
     }
     assert!(program.is_ready());
     // Once the log is read, it reports that lines were dropped.
