Outcomes are left out by the start of an endpoint's process, and the decisions that this changes are stored anew

It now compares with the start itself.

That is the mend: late outcomes of the earlier process no longer eject or limit the present one (routing::tests::late_outcomes_of_an_earlier_process_...). The test is as strict as before.

--- a/src/routing/endpoint.rs
+++ b/src/routing/endpoint.rs
@@ -25,9 +25,6 @@
     pub(super) objects: ObjectShare,
     /// Fraction of requests that the endpoint answers from its own copies.
     pub(super) hit_ratio: f64,
-    /// Time at which the endpoint was last known to have restarted, or 0. What its earlier process did says
-    /// nothing about the present one.
-    pub(super) restarted_at: Micros,
 }
 
 impl Upstream {
@@ -60,6 +57,5 @@
         let previous = std::mem::replace(self, Upstream::new(endpoint, now));
         self.concurrency.in_flight = previous.concurrency.in_flight;
         self.slow_start.sent = previous.slow_start.sent;
-        self.restarted_at = now;
     }
 }
--- a/src/routing/outcomes.rs
+++ b/src/routing/outcomes.rs
@@ -45,7 +45,7 @@
         for index in [Some(attempt.target), attempt.source].into_iter().flatten() {
             let upstream = &self.endpoints[index];
             let is_silent = upstream.latency.last_response_at < attempt.sent_at;
-            if is_silent && upstream.restarted_at <= attempt.sent_at {
+            if is_silent && upstream.endpoint.started_at <= attempt.sent_at {
                 self.record_failure(index, FAILURE_RATE_STEP);
             }
         }
@@ -68,7 +68,7 @@
             if !attempt.capacity_released {
                 upstream.concurrency.in_flight.decrement(self.now);
             }
-            if attempt.sent_at >= upstream.restarted_at {
+            if attempt.sent_at >= upstream.endpoint.started_at {
                 upstream.outliers.attempt_ended();
             }
         }
@@ -77,9 +77,13 @@
         }
     }
 
-    /// Returns whether an endpoint of the attempt has restarted since the attempt was sent.
+    /// Returns whether the present process of an endpoint of the attempt started after the attempt was sent.
+    /// What the earlier process did says nothing about the present one.
     fn has_restarted_since(&self, attempt: &Attempt) -> bool {
-        attempt.participants().into_iter().any(|index| attempt.sent_at < self.endpoints[index].restarted_at)
+        attempt
+            .participants()
+            .into_iter()
+            .any(|index| attempt.sent_at < self.endpoints[index].endpoint.started_at)
     }
 
     fn is_cache(&self, index: EndpointIndex) -> bool {
